--- a/benchmarks/scaling.py
+++ b/benchmarks/scaling.py
@@ -67,8 +67,8 @@
     ServiceId,
     TargetId,
 )
-from dotterelhatch.platform.interfaces import HostEntry, HostRole, HostState
-from dotterelhatch.platform.records import HOSTS
+from dotterelhatch.backing.interfaces import HostEntry, HostRole, HostState
+from dotterelhatch.backing.records import HOSTS
 from dotterelhatch.settings import PlatformSettings, RouterSettings
 from dotterelhatch.wire import exchange_pb2 as wire
 from dotterelhatch.wire import exchange_pb2_grpc as wire_grpc
--- a/demo/launcher.py
+++ b/demo/launcher.py
@@ -29,7 +29,7 @@
 from dotterelhatch.fleet import Service, ServiceKind, Target
 from dotterelhatch.ids import ConfigVersion, FailureDomain
 from dotterelhatch.net.http import HttpError, fetch
-from dotterelhatch.platform.http import HttpTableService
+from dotterelhatch.backing.http import HttpTableService
 
 __all__ = (
     'EXAMPLES',
--- /dev/null
+++ b/src/dotterelhatch/backing/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform provides."""
--- a/src/dotterelhatch/platform/http.py
+++ b/src/dotterelhatch/backing/http.py
@@ -7,14 +7,14 @@
 
 from pydantic import ValidationError
 
-from dotterelhatch.platform._client import (
+from dotterelhatch.backing._client import (
     AnswerLost,
     Client,
     Headers,
     NotSent,
     Response,
 )
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     HostEntry,
     PlatformError,
     RateLimited,
@@ -24,7 +24,7 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from dotterelhatch.platform.records import HOSTS, WEIGHTS, ScanPage
+from dotterelhatch.backing.records import HOSTS, WEIGHTS, ScanPage
 
 __all__ = (
     'HttpHostList',
--- a/src/dotterelhatch/platform/memory.py
+++ b/src/dotterelhatch/backing/memory.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     Clock,
     HostEntry,
     PlatformError,
--- a/src/dotterelhatch/platform/records.py
+++ b/src/dotterelhatch/backing/records.py
@@ -5,7 +5,7 @@
 from pydantic import ConfigDict, TypeAdapter
 
 from dotterelhatch.fleet import FrozenModel
-from dotterelhatch.platform.interfaces import HostEntry, Row, WeightsInfo
+from dotterelhatch.backing.interfaces import HostEntry, Row, WeightsInfo
 
 __all__ = ('HOSTS', 'WEIGHTS', 'RowRecord', 'ScanPage')
 
--- a/src/dotterelhatch/claimstore.py
+++ b/src/dotterelhatch/claimstore.py
@@ -28,7 +28,7 @@
 )
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.ids import Fingerprint, OrganisationId, ServiceId
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     Clock,
     ObjectStore,
     PlatformError,
--- a/src/dotterelhatch/cli/_clients.py
+++ b/src/dotterelhatch/cli/_clients.py
@@ -15,7 +15,7 @@
 import curio
 
 from dotterelhatch.errors import DotterelhatchError, ErrorKind
-from dotterelhatch.platform.interfaces import TableService
+from dotterelhatch.backing.interfaces import TableService
 from dotterelhatch.settings import RouterSettings
 
 __all__ = (
@@ -51,7 +51,7 @@
 
 def open_tables(url: str) -> AbstractAsyncContextManager[TableService]:
     """Return the table service at a URL, closed by its context."""
-    module = importlib.import_module('dotterelhatch.platform.http')
+    module = importlib.import_module('dotterelhatch.backing.http')
     tables: AbstractAsyncContextManager[TableService]
     tables = module.HttpTableService(url, _TIMEOUT_SECONDS)
     return tables
--- a/src/dotterelhatch/cli/_common.py
+++ b/src/dotterelhatch/cli/_common.py
@@ -12,7 +12,7 @@
 from dotterelhatch.cli import _clients
 from dotterelhatch.configstore import ConfigStore, StoredConfig
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     PlatformError,
     WriteOutcomeUnknown,
 )
--- a/src/dotterelhatch/configstore.py
+++ b/src/dotterelhatch/configstore.py
@@ -15,7 +15,7 @@
 )
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.ids import ConfigVersion
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     PlatformError,
     Row,
     TableService,
--- /dev/null
+++ b/src/dotterelhatch/core/balancer.py
@@ -0,0 +1,297 @@
+"""Choice of a target for one request, or the refusal of the request.
+
+A model engine reads prompts in the order of arrival, so the time to the first
+event is the time to read what waits there and the unkept part of the prompt.
+Requests are placed where that sum is least, and refused when the wait alone
+exceeds what the caller can use: a longer queue would make every answer late
+without serving more of them.
+"""
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import Final
+
+import mmh3
+
+from dotterelhatch.core.load import LoadBoard, TargetLoad
+from dotterelhatch.core.prompts import Prompt, PromptPartCache
+from dotterelhatch.core.registry import TargetEntry, TargetRegistry
+from dotterelhatch.core.routes import EngineSpec, RouteRule, ServiceSpec
+from dotterelhatch.core.targethealth import TargetHealth
+from dotterelhatch.ids import FailureDomain, TargetId
+
+__all__ = ('Balancer', 'BalancerSettings', 'Demand', 'Placement', 'Refusal')
+
+# Prompt tokens that an engine reads in a second beside the steps of running
+# requests, from the sheet of the engines (56,900 alone); corrected for each
+# target by the measured time to the first event.
+_READ_TOKENS_PER_SECOND: Final = 40_000.0
+# Time to the first event of an empty prompt on an idle engine.
+_FIRST_EVENT_SECONDS: Final = 0.04
+# Mean time of a plain request until one has been measured.
+_PLAIN_SECONDS: Final = 0.045
+_NEWEST_WEIGHT: Final = 0.05
+# A prompt that no target is known to keep goes to the same target from every
+# router; this much more predicted time moves it to the next one.
+_RANK_STEP_SECONDS: Final = 0.02
+_RANKS_COUNT: Final = 3
+# Reading a shared part again costs other requests as much time as this one.
+_REREAD_WEIGHT: Final = 1.5
+# A target that fails half of its requests looks this much slower.
+_FAILURE_PENALTY_SECONDS: Final = 2.0
+_FULL_PENALTY_SECONDS: Final = 2.0
+_MEMORY_SHARE: Final = 0.9
+_OTHER_DOMAIN_SECONDS: Final = 0.002
+# Part of the objective that a request may wait for others, by whether its
+# organisation is within its share.
+_WAIT_SHARE: Final = 0.8
+_WAIT_SHARE_OVER: Final = 0.4
+_RETRY_MIN_SECONDS: Final = 0.2
+_RETRY_SPREAD_SECONDS: Final = 0.6
+# Queue of a plain target, in multiples of its slots, that still drains within
+# the deadlines of callers.
+_PLAIN_QUEUE_FACTOR: Final = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerSettings:
+    """Where this router is.
+
+    :param failure_domain: targets in it are preferred.
+    """
+
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What one attempt of a request needs.
+
+    :param remaining_seconds: until its deadline or the timeout of its route.
+    :param is_within_share: whether its organisation asked no more than its
+        share.
+    """
+
+    route: RouteRule
+    service: ServiceSpec
+    prompt: Prompt | None
+    remaining_seconds: float
+    is_within_share: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The chosen target and what the choice was based on.
+
+    :param wait_seconds: predicted time until the target begins.
+    :param expected_seconds: predicted time to the first event or answer.
+    :param kept_tokens: prompt tokens that the target keeps already.
+    """
+
+    entry: TargetEntry
+    load: TargetLoad
+    wait_seconds: float
+    expected_seconds: float
+    kept_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """No target can serve the request in time.
+
+    :param reason: a word for logs and metrics.
+    :param wait_seconds: the shortest predicted wait, None without a target.
+    """
+
+    reason: str
+    retry_after_seconds: float
+    wait_seconds: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Option:
+    score_seconds: float
+    placement: Placement
+
+
+class Balancer:
+    """Places requests on targets.
+
+    :param settings: where this router is.
+    :param registry: the targets that may be used.
+    :param board: the load of the targets.
+    :param health: what their answers told.
+    :param rng: for ties and the spread of returning callers.
+    """
+
+    def __init__(
+        self,
+        settings: BalancerSettings,
+        registry: TargetRegistry,
+        board: LoadBoard,
+        health: TargetHealth,
+        rng: random.Random,
+    ) -> None:
+        """Start with nothing measured."""
+        self.cache = PromptPartCache()
+        self._settings = settings
+        self._registry = registry
+        self._board = board
+        self._health = health
+        self._rng = rng
+        self._plain_seconds = _PLAIN_SECONDS
+
+    def place(
+        self,
+        demand: Demand,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> Placement | Refusal:
+        """Choose a target.
+
+        :param excluded: targets that this request was sent to before.
+        """
+        entries = self._candidates(demand, excluded, now_seconds)
+        if not entries:
+            return Refusal('no_target', self._spread(_RETRY_MIN_SECONDS))
+        engine = demand.service.engine
+        if engine is None or demand.prompt is None:
+            return self._place_plain(demand, entries, now_seconds)
+        return self._place_prompt(
+            demand, engine, demand.prompt, entries, now_seconds
+        )
+
+    def on_plain_answered(self, seconds: float) -> None:
+        """Take over the time that a plain request took at its target."""
+        change = seconds - self._plain_seconds
+        self._plain_seconds += _NEWEST_WEIGHT * change
+
+    def _candidates(
+        self,
+        demand: Demand,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> list[TargetEntry]:
+        ready = self._registry.ready(demand.service.id)
+        fresh = [entry for entry in ready if entry.id not in excluded]
+        usable = [
+            entry
+            for entry in fresh
+            if self._health.is_usable(entry.id, now_seconds)
+        ]
+        return usable or fresh
+
+    def _place_plain(
+        self, demand: Demand, entries: list[TargetEntry], now_seconds: float
+    ) -> Placement | Refusal:
+        best = min(
+            (self._plain_option(entry, now_seconds) for entry in entries),
+            key=lambda option: option.score_seconds,
+        )
+        placement = best.placement
+        queue_seconds = self._plain_seconds * _PLAIN_QUEUE_FACTOR
+        limit_seconds = min(queue_seconds, demand.remaining_seconds)
+        if placement.wait_seconds > limit_seconds:
+            return self._refuse(placement.wait_seconds, limit_seconds)
+        return placement
+
+    def _plain_option(self, entry: TargetEntry, now_seconds: float) -> _Option:
+        load = self._board.total(entry.id, now_seconds)
+        slots = max(1, entry.slots_count)
+        excess = max(0, load.requests_count + 1 - slots)
+        wait_seconds = excess * self._plain_seconds / slots
+        used_share = load.requests_count / slots
+        score = wait_seconds + used_share * self._plain_seconds
+        score += self._penalty_seconds(entry)
+        placement = Placement(
+            entry,
+            TargetLoad(requests_count=1),
+            wait_seconds,
+            wait_seconds + self._plain_seconds,
+            0,
+        )
+        return _Option(score, placement)
+
+    def _place_prompt(
+        self,
+        demand: Demand,
+        engine: EngineSpec,
+        prompt: Prompt,
+        entries: list[TargetEntry],
+        now_seconds: float,
+    ) -> Placement | Refusal:
+        ranks = _ranks(prompt.affinity_key, entries)
+        best = min(
+            (
+                self._prompt_option(
+                    entry, ranks[entry.id], engine, prompt, now_seconds
+                )
+                for entry in entries
+            ),
+            key=lambda option: option.score_seconds,
+        )
+        placement = best.placement
+        share = _WAIT_SHARE if demand.is_within_share else _WAIT_SHARE_OVER
+        limit_seconds = min(
+            demand.route.objective_seconds * share, demand.remaining_seconds
+        )
+        if placement.wait_seconds > limit_seconds:
+            return self._refuse(placement.wait_seconds, limit_seconds)
+        return placement
+
+    def _prompt_option(
+        self,
+        entry: TargetEntry,
+        rank: int,
+        engine: EngineSpec,
+        prompt: Prompt,
+        now_seconds: float,
+    ) -> _Option:
+        load = self._board.total(entry.id, now_seconds)
+        kept_tokens = self.cache.kept_tokens(entry.id, prompt)
+        unread_tokens = max(0, prompt.input_tokens - kept_tokens)
+        rate = _READ_TOKENS_PER_SECOND / self._health.slowness(entry.id)
+        wait_seconds = load.unread_tokens / rate
+        if load.requests_count >= engine.slots_count:
+            wait_seconds += _FULL_PENALTY_SECONDS
+        read_seconds = unread_tokens / rate
+        memory_tokens = prompt.input_tokens + prompt.max_output_tokens
+        score = wait_seconds + _REREAD_WEIGHT * read_seconds
+        score += self._penalty_seconds(entry)
+        score += _RANK_STEP_SECONDS * min(rank, _RANKS_COUNT)
+        used_tokens = load.memory_tokens + memory_tokens
+        if used_tokens > engine.memory_tokens * _MEMORY_SHARE:
+            score += _FULL_PENALTY_SECONDS
+        placement = Placement(
+            entry,
+            TargetLoad(1, unread_tokens, memory_tokens),
+            wait_seconds,
+            _FIRST_EVENT_SECONDS + wait_seconds + read_seconds,
+            kept_tokens,
+        )
+        return _Option(score, placement)
+
+    def _penalty_seconds(self, entry: TargetEntry) -> float:
+        share = self._health.failure_share(entry.id)
+        penalty = share * _FAILURE_PENALTY_SECONDS
+        if entry.failure_domain != self._settings.failure_domain:
+            penalty += _OTHER_DOMAIN_SECONDS
+        return penalty + self._rng.random() * _OTHER_DOMAIN_SECONDS
+
+    def _refuse(self, wait_seconds: float, limit_seconds: float) -> Refusal:
+        excess = max(_RETRY_MIN_SECONDS, wait_seconds - limit_seconds)
+        return Refusal('overloaded', self._spread(excess), wait_seconds)
+
+    def _spread(self, seconds: float) -> float:
+        """Return a time to come back that differs from caller to caller."""
+        spread = self._rng.random() * _RETRY_SPREAD_SECONDS
+        return round(seconds + spread, 2)
+
+
+def _ranks(key: str, entries: list[TargetEntry]) -> dict[TargetId, int]:
+    """Return the place of each target in the rendezvous order of a key."""
+    ordered = sorted(
+        entries, key=lambda entry: mmh3.hash64(f'{key}\0{entry.id}')[0]
+    )
+    return {entry.id: index for index, entry in enumerate(ordered)}
--- a/src/dotterelhatch/core/events.py
+++ b/src/dotterelhatch/core/events.py
@@ -14,7 +14,7 @@
     RouterId,
     TargetId,
 )
-from dotterelhatch.platform.interfaces import HostEntry
+from dotterelhatch.backing.interfaces import HostEntry
 
 __all__ = (
     'Action',
--- a/src/dotterelhatch/core/leaving.py
+++ b/src/dotterelhatch/core/leaving.py
@@ -4,7 +4,7 @@
 
 from dotterelhatch.core.messages import TargetLeaving
 from dotterelhatch.ids import TargetId
-from dotterelhatch.platform.interfaces import HostEntry, HostRole, HostState
+from dotterelhatch.backing.interfaces import HostEntry, HostRole, HostState
 
 __all__ = ('LeavingTargets',)
 
--- /dev/null
+++ b/src/dotterelhatch/core/load.py
@@ -0,0 +1,126 @@
+"""Work in progress at each target, as sent by this router and its peers."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from dotterelhatch.ids import RouterId, TargetId
+
+__all__ = ('Flight', 'LoadBoard', 'TargetLoad')
+
+# Heartbeats are sent several times a second; a peer that is silent for this
+# long has stopped or is cut off, and its requests end with its connections.
+_REPORT_LIFETIME_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Requests that a target has and that are not answered completely.
+
+    :param unread_tokens: prompt tokens that the target still has to read.
+    :param memory_tokens: tokens that the requests may occupy at their end.
+    """
+
+    requests_count: int = 0
+    unread_tokens: int = 0
+    memory_tokens: int = 0
+
+    def plus(self, other: 'TargetLoad') -> 'TargetLoad':
+        """Return the sum of both."""
+        return TargetLoad(
+            self.requests_count + other.requests_count,
+            self.unread_tokens + other.unread_tokens,
+            self.memory_tokens + other.memory_tokens,
+        )
+
+
+_NOTHING = TargetLoad()
+
+
+class Flight:
+    """One request at one target, from sending to the end of its answer."""
+
+    def __init__(
+        self,
+        board: 'LoadBoard',
+        target: TargetId,
+        load: TargetLoad,
+        started_seconds: float,
+    ) -> None:
+        """Keep the parts; :meth:`LoadBoard.start` counts them."""
+        self.target = target
+        self.load = load
+        self.started_seconds = started_seconds
+        self._board = board
+        self._has_begun = False
+        self._has_ended = False
+
+    def on_first_event(self) -> None:
+        """Note that the target has read the prompt."""
+        if not self._has_begun and not self._has_ended:
+            self._has_begun = True
+            self._board.add(
+                self.target, TargetLoad(0, -self.load.unread_tokens, 0)
+            )
+
+    def end(self) -> None:
+        """Remove the request from the load of its target."""
+        if self._has_ended:
+            return
+        self.on_first_event()
+        self._has_ended = True
+        self._board.add(
+            self.target, TargetLoad(-1, 0, -self.load.memory_tokens)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    received_seconds: float
+    loads: Mapping[TargetId, TargetLoad]
+
+
+class LoadBoard:
+    """Load of the targets: exact for this router, reported for the others."""
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self._own: dict[TargetId, TargetLoad] = {}
+        self._reports: dict[RouterId, _Report] = {}
+
+    @property
+    def own(self) -> Mapping[TargetId, TargetLoad]:
+        """Return what this router has sent, targets without load left out."""
+        return self._own
+
+    def start(
+        self, target: TargetId, load: TargetLoad, now_seconds: float
+    ) -> Flight:
+        """Count a request that is sent now."""
+        self.add(target, load)
+        return Flight(self, target, load, now_seconds)
+
+    def add(self, target: TargetId, change: TargetLoad) -> None:
+        """Change the own load of a target."""
+        load = self._own.get(target, _NOTHING).plus(change)
+        if load.requests_count or load.unread_tokens or load.memory_tokens:
+            self._own[target] = load
+        else:
+            self._own.pop(target, None)
+
+    def on_report(
+        self,
+        router: RouterId,
+        loads: Mapping[TargetId, TargetLoad],
+        now_seconds: float,
+    ) -> None:
+        """Replace what a peer reported before."""
+        self._reports[router] = _Report(now_seconds, loads)
+
+    def total(self, target: TargetId, now_seconds: float) -> TargetLoad:
+        """Return the load that all routers have put on a target."""
+        load = self._own.get(target, _NOTHING)
+        oldest_seconds = now_seconds - _REPORT_LIFETIME_SECONDS
+        for report in self._reports.values():
+            if report.received_seconds >= oldest_seconds:
+                load = load.plus(report.loads.get(target, _NOTHING))
+        return load
--- a/src/dotterelhatch/core/node.py
+++ b/src/dotterelhatch/core/node.py
@@ -64,7 +64,7 @@
     ServiceId,
     TargetId,
 )
-from dotterelhatch.platform.interfaces import HostEntry, HostRole, HostState
+from dotterelhatch.backing.interfaces import HostEntry, HostRole, HostState
 from dotterelhatch.settings import RouterSettings
 
 __all__ = ('Node',)
--- /dev/null
+++ b/src/dotterelhatch/core/peers.py
@@ -0,0 +1,135 @@
+"""Peers of a gateway, known by their heartbeats."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from dotterelhatch.core.load import TargetLoad
+from dotterelhatch.core.messages import CrashReport
+from dotterelhatch.ids import FailureDomain, Incarnation, RouterId, TargetId
+
+__all__ = ('Heartbeat', 'Peer', 'PeerBoard', 'heartbeat_interval_seconds')
+
+# A router that was silent for this long is not named to callers any more.
+# Several heartbeats have to be lost before.
+_LIVE_SECONDS: Final = 2.0
+# Addresses of silent peers are kept and tried, because a cut ends.
+_FORGOTTEN_SECONDS: Final = 60.0
+_SHORTEST_INTERVAL_SECONDS: Final = 0.25
+# Keeps the datagrams that a router receives below 34 per second.
+_INTERVAL_PER_PEER_SECONDS: Final = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a router tells the others several times a second.
+
+    :param incarnation: start time in ms; a restarted router replaces what
+        its former incarnation told.
+    :param sequence: orders the heartbeats of one incarnation.
+    :param is_ready: whether callers should be sent there.
+    :param snapshot_versions: version of each document it has.
+    :param loads: what it has sent to each target.
+    :param is_source_seen: whether the source of the documents answered lately.
+    :param crashes: requests that ran on a target while it crashed.
+    :param known_addresses: heartbeat addresses of live peers.
+    """
+
+    router: RouterId
+    incarnation: Incarnation
+    sequence: int
+    failure_domain: FailureDomain
+    caller_address: str
+    control_address: str
+    heartbeat_address: str
+    is_ready: bool
+    snapshot_versions: Mapping[str, int]
+    loads: Mapping[TargetId, TargetLoad]
+    is_source_seen: bool = False
+    crashes: tuple[CrashReport, ...] = ()
+    known_addresses: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Peer:
+    """The newest heartbeat of a peer and when it arrived."""
+
+    heartbeat: Heartbeat
+    heard_seconds: float
+
+
+class PeerBoard:
+    """Peers that were heard lately, and addresses at which to find more.
+
+    :param router: this router, whose own heartbeats are ignored.
+    :param heartbeat_address: of this router.
+    """
+
+    def __init__(self, router: RouterId, heartbeat_address: str) -> None:
+        """Start without peers."""
+        self._router = router
+        self._own_address = heartbeat_address
+        self._peers: dict[RouterId, Peer] = {}
+        self._addresses: dict[str, float] = {}
+        self._most_seen_count = 1
+
+    @property
+    def most_seen_count(self) -> int:
+        """Return the largest number of live routers so far, this included."""
+        return self._most_seen_count
+
+    def add_addresses(
+        self, addresses: Iterable[str], now_seconds: float
+    ) -> None:
+        """Take over addresses at which peers may listen."""
+        for address in addresses:
+            if address != self._own_address:
+                self._addresses[address] = now_seconds
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now_seconds: float) -> bool:
+        """Take over a heartbeat; return whether it is news."""
+        if heartbeat.router == self._router:
+            return False
+        known = self._peers.get(heartbeat.router)
+        if known is not None and not _is_newer(heartbeat, known.heartbeat):
+            return False
+        self._peers[heartbeat.router] = Peer(heartbeat, now_seconds)
+        self._addresses[heartbeat.heartbeat_address] = now_seconds
+        for address in heartbeat.known_addresses:
+            if address != self._own_address:
+                self._addresses.setdefault(address, now_seconds)
+        live_count = len(self.live(now_seconds)) + 1
+        self._most_seen_count = max(self._most_seen_count, live_count)
+        return True
+
+    def live(self, now_seconds: float) -> list[Heartbeat]:
+        """Return the newest heartbeat of each peer heard lately."""
+        return [
+            peer.heartbeat
+            for peer in self._peers.values()
+            if now_seconds - peer.heard_seconds <= _LIVE_SECONDS
+        ]
+
+    def addresses(self, now_seconds: float) -> list[str]:
+        """Return the addresses to send heartbeats to."""
+        oldest_seconds = now_seconds - _FORGOTTEN_SECONDS
+        self._addresses = {
+            address: since
+            for address, since in self._addresses.items()
+            if since >= oldest_seconds
+        }
+        return list(self._addresses)
+
+
+def heartbeat_interval_seconds(peers_count: int) -> float:
+    """Return the pause between two heartbeats."""
+    return max(
+        _SHORTEST_INTERVAL_SECONDS, _INTERVAL_PER_PEER_SECONDS * peers_count
+    )
+
+
+def _is_newer(heartbeat: Heartbeat, known: Heartbeat) -> bool:
+    return (heartbeat.incarnation, heartbeat.sequence) > (
+        known.incarnation,
+        known.sequence,
+    )
--- /dev/null
+++ b/src/dotterelhatch/core/routes.py
@@ -0,0 +1,164 @@
+"""Routing table: which service a request goes to, and on whose account."""
+
+import enum
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from dotterelhatch.ids import ConfigVersion, OrganisationId, ServiceId
+
+__all__ = (
+    'EngineSpec',
+    'RequestLimits',
+    'RouteKind',
+    'RouteRule',
+    'RoutingTable',
+    'ServiceShare',
+    'ServiceSpec',
+)
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated, and how the response arrives."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAMING = 'streaming'
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service that receives a part of the requests of a route.
+
+    :param weight: relative to the other services of the route.
+    """
+
+    service: ServiceId
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRule:
+    """Requests below one path prefix of one host.
+
+    :param timeout_seconds: longest time until the complete response.
+    :param objective_seconds: time to the response, or to the first event of a
+        stream, within which the caller is well served.
+    :param max_attempts_count: targets that may run one request.
+    :param is_public: no API key is needed.
+    :param is_resumable: a stream can continue at another target.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_seconds: float
+    objective_seconds: float
+    shares: tuple[ServiceShare, ...]
+    max_attempts_count: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.is_resumable
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the response is a stream of events."""
+        return self.kind is RouteKind.STREAMING
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """Properties of the model engines of a service.
+
+    :param slots_count: requests that one engine runs at a time.
+    :param memory_tokens: tokens of running requests and kept prompt parts.
+    """
+
+    slots_count: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service that requests are routed to.
+
+    :param engine: None for a plain service.
+    """
+
+    id: ServiceId
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a caller may send, and the throughput that is shared.
+
+    :param tokens_per_second: throughput that organisations share, None when
+        it is not limited.
+    """
+
+    max_body_bytes: int = 4_194_304
+    tokens_per_second: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the configuration that routers serve by.
+
+    :param organisations_by_key: None when no route needs a key.
+    """
+
+    version: ConfigVersion
+    routes: tuple[RouteRule, ...]
+    services: Mapping[ServiceId, ServiceSpec]
+    limits: RequestLimits
+    organisations_by_key: Mapping[str, OrganisationId] | None = None
+    _by_host: dict[str, dict[str, RouteRule]] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Index the routes by host and prefix."""
+        for route in self.routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+
+    def find_route(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix that begins the path.
+
+        :param path: request target; a query is ignored.
+        """
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        candidate = path.partition('?')[0]
+        end = candidate.rfind('/')
+        while end >= 0:
+            route = prefixes.get(candidate[: end + 1])
+            if route is not None:
+                return route
+            end = candidate.rfind('/', 0, end)
+        return None
+
+    def find_organisation(self, key: str) -> OrganisationId | None:
+        """Return the organisation that holds an API key."""
+        if self.organisations_by_key is None:
+            return None
+        return self.organisations_by_key.get(key)
+
+    def needs_key(self, route: RouteRule) -> bool:
+        """Return whether requests of a route must carry a key."""
+        return self.organisations_by_key is not None and not route.is_public
+
+
+def pick_service(route: RouteRule, rng: random.Random) -> ServiceId:
+    """Return a service of the route at random, by weight."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
--- a/src/dotterelhatch/daemon.py
+++ b/src/dotterelhatch/daemon.py
@@ -63,12 +63,12 @@
 from dotterelhatch.net.peers import FrameReceived as PeerFrameReceived
 from dotterelhatch.net.targets import TargetClient
 from dotterelhatch.operations import Operations
-from dotterelhatch.platform.http import (
+from dotterelhatch.backing.http import (
     HttpHostList,
     HttpObjectStore,
     HttpTableService,
 )
-from dotterelhatch.platform.interfaces import PlatformError
+from dotterelhatch.backing.interfaces import PlatformError
 from dotterelhatch.rates import MovingRate
 from dotterelhatch.settings import RouterSettings
 from dotterelhatch.signals import SignalInbox
--- a/src/dotterelhatch/errors.py
+++ b/src/dotterelhatch/errors.py
@@ -111,7 +111,7 @@
         kind: ErrorKind,
         detail: str,
         executed: Executed = Executed.NO,
-        retry_after_seconds: int | None = None,
+        retry_after_seconds: float | None = None,
     ) -> None:
         """Keep the parts and format the message."""
         super().__init__(f'{kind.value}: {detail}')
@@ -126,7 +126,7 @@
         return ANSWERS[self.kind]
 
     @property
-    def retry_after_seconds(self) -> int | None:
+    def retry_after_seconds(self) -> float | None:
         """Return after how many seconds a retry may help, if ever."""
         if self._retry_after_seconds is not None:
             return self._retry_after_seconds
--- /dev/null
+++ b/src/dotterelhatch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serving by a routing table: requests in, one target each, answers back."""
--- /dev/null
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -0,0 +1,116 @@
+"""Prometheus metrics of a gateway."""
+
+from typing import Final
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from dotterelhatch.net.http import Response, ServerExchange
+
+__all__ = ('GatewayMetrics', 'MetricsHandler')
+
+_NAMESPACE: Final = 'dotterelhatch_gateway'
+_BUCKETS: Final = (
+    0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1.2, 2, 4, 8, 15,
+)  # fmt: skip
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+
+
+class GatewayMetrics:
+    """Counters, gauges and histograms of one process."""
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.requests = Counter(
+            'requests',
+            'Requests of callers by how they ended.',
+            ('outcome', 'reason'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            'attempts',
+            'Requests sent to targets by how they ended.',
+            ('service', 'outcome'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.first_event_seconds = Histogram(
+            'first_event_seconds',
+            'Time from the arrival of a request to its first event or answer.',
+            ('service',),
+            namespace=_NAMESPACE,
+            registry=registry,
+            buckets=_BUCKETS,
+        )
+        self.response_seconds = Histogram(
+            'response_seconds',
+            'Time from the arrival of a request to the end of its response.',
+            ('service',),
+            namespace=_NAMESPACE,
+            registry=registry,
+            buckets=_BUCKETS,
+        )
+        self.snapshot_version = Gauge(
+            'snapshot_version',
+            'Version of each document in force.',
+            ('document',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.live_routers = Gauge(
+            'live_routers',
+            'Routers heard lately, this one included.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.ready_targets = Gauge(
+            'ready_targets',
+            'Targets that take new requests.',
+            ('service',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.source_up = Gauge(
+            'source_up',
+            'Whether the source of a document answers.',
+            ('document',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.log_lines_dropped = Gauge(
+            'log_lines_dropped',
+            'Log lines that a slow reader did not take.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in the text format."""
+        return bytes(generate_latest(self._registry))
+
+
+class MetricsHandler:
+    """Handler of the metrics address."""
+
+    def __init__(self, metrics: GatewayMetrics, path: str) -> None:
+        """Keep the parts."""
+        self._metrics = metrics
+        self._path = path
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer a request for the metrics."""
+        if exchange.head.path.partition('?')[0] != self._path:
+            await exchange.send(Response(_NOT_FOUND, (), b''))
+            return
+        headers = (('Content-Type', CONTENT_TYPE_LATEST),)
+        await exchange.send(Response(_OK, headers, self._metrics.render()))
--- /dev/null
+++ b/src/dotterelhatch/gateway/snapshots.py
@@ -0,0 +1,114 @@
+"""Versioned documents that routers pass on when their source is away."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+from dotterelhatch.ids import RouterId
+from dotterelhatch.net.http import (
+    HttpError,
+    Response,
+    ServerExchange,
+    fetch,
+)
+
+__all__ = ('Snapshot', 'SnapshotServer', 'SnapshotShelf', 'fetch_snapshot')
+
+_LOGGER: Final = logging.getLogger(__name__)
+_PATH: Final = '/snapshots'
+_VERSION_HEADER: Final = 'X-Snapshot-Version'
+_FETCH_TIMEOUT_SECONDS: Final = 1.0
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One version of a document.
+
+    :param version: grows with every change at the source.
+    """
+
+    name: str
+    version: int
+    content: bytes
+
+
+Subscriber = Callable[[Snapshot], Awaitable[None]]
+
+
+class SnapshotShelf:
+    """The newest snapshot of each document; an older one never replaces it."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._snapshots: dict[str, Snapshot] = {}
+        self._subscribers: dict[str, Subscriber] = {}
+
+    def subscribe(self, name: str, subscriber: Subscriber) -> None:
+        """Call ``subscriber`` with each newer snapshot of a document."""
+        self._subscribers[name] = subscriber
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each document."""
+        return {
+            name: snapshot.version for name, snapshot in self._snapshots.items()
+        }
+
+    def get(self, name: str) -> Snapshot | None:
+        """Return the newest snapshot of a document."""
+        return self._snapshots.get(name)
+
+    async def offer(self, snapshot: Snapshot) -> bool:
+        """Take over a snapshot if it is newer; return whether it was."""
+        known = self._snapshots.get(snapshot.name)
+        if known is not None and known.version >= snapshot.version:
+            return False
+        self._snapshots[snapshot.name] = snapshot
+        if known is None or known.content != snapshot.content:
+            await self._subscribers[snapshot.name](snapshot)
+        return True
+
+
+class SnapshotServer:
+    """Handler of the control address: peers fetch snapshots there."""
+
+    def __init__(self, shelf: SnapshotShelf) -> None:
+        """Keep the shelf."""
+        self._shelf = shelf
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer ``GET /snapshots?name=NAME``."""
+        parts = urlsplit(exchange.head.path)
+        name = parse_qs(parts.query).get('name', [''])[0]
+        snapshot = self._shelf.get(name) if parts.path == _PATH else None
+        if snapshot is None:
+            await exchange.send(Response(_NOT_FOUND, (), b''))
+            return
+        headers = ((_VERSION_HEADER, str(snapshot.version)),)
+        await exchange.send(Response(_OK, headers, snapshot.content))
+
+
+async def fetch_snapshot(
+    router: RouterId, address: str, name: str
+) -> Snapshot | None:
+    """Return the snapshot that a peer has, None when it can't be had."""
+    try:
+        response = await fetch(
+            address,
+            'GET',
+            f'{_PATH}?name={name}',
+            timeout_seconds=_FETCH_TIMEOUT_SECONDS,
+        )
+    except HttpError as error:
+        _LOGGER.warning(
+            'no snapshot from a peer',
+            extra={'peer': router, 'snapshot': name, 'reason': str(error)},
+        )
+        return None
+    version = response.header(_VERSION_HEADER) or ''
+    if response.status != _OK or not version.isdigit():
+        return None
+    return Snapshot(name, int(version), response.body)
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -238,11 +238,13 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
-        return RequestHead(
+        head = RequestHead(
             method=event.method.decode(HEAD_ENCODING),
             path=event.target.decode(HEAD_ENCODING),
             headers=decode_headers(event.headers),
         )
+        _check_framing(head)
+        return head
 
     async def read_body(self, max_bytes: int) -> bytes:
         """Return the request body."""
@@ -439,6 +441,7 @@
         self._listener: socket.socket | None = None
         self._accept_task: Any = None
         self._stopping = False
+        self._leaving = False
         self._connections: dict[_Connection, Any] = {}
         self._idle: dict[_Connection, Any] = {}
         self._exchanges_count = 0
@@ -502,6 +505,14 @@
         for task in tuple(self._idle.values()):
             await _end_idle_wait(task)
 
+    def announce_close(self) -> None:
+        """Say ``Connection: close`` in all responses from now on.
+
+        New connections are still accepted, because callers use an address
+        for as long as they keep the answer that named it.
+        """
+        self._leaving = True
+
     async def drain(self) -> None:
         """Return when no exchange is in progress."""
         while self._exchanges_count:
@@ -618,7 +629,7 @@
         if head is None:
             connection.must_close = True
             return
-        if self._stopping or head.method == 'CONNECT':
+        if self._stopping or self._leaving or head.method == 'CONNECT':
             connection.must_close = True
         exchange = ServerExchange(head, connection)
         await self._run_handler(exchange, connection)
@@ -670,6 +681,19 @@
         await exchange.send(self._render_error(error))
 
 
+def _check_framing(head: RequestHead) -> None:
+    """Refuse a request whose end two parsers could see in two places.
+
+    :raises DotterelhatchError: BAD_REQUEST.
+    """
+    has_length = head.header('Content-Length') is not None
+    if has_length and head.header('Transfer-Encoding') is not None:
+        raise DotterelhatchError(
+            ErrorKind.BAD_REQUEST,
+            'a request has either a Content-Length or a Transfer-Encoding',
+        )
+
+
 async def _end_idle_wait(task: Any) -> None:
     await task.cancel(exc=_IdleClosedError, blocking=False)
 
--- a/src/dotterelhatch/net/targets.py
+++ b/src/dotterelhatch/net/targets.py
@@ -3,6 +3,7 @@
 import contextlib
 import enum
 import json
+import logging
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -32,7 +33,15 @@
     'TargetResponse',
 )
 
+_LOGGER: Final = logging.getLogger(__name__)
 _REQUEST_ID: Final = 'X-Request-Id'
+# Bodies up to this size fit into the socket buffers, so sending them does not
+# wait for the target and needs no task of its own.
+_INLINE_BODY_BYTES: Final = 8192
+# Late extra responses on one connection that are skipped, each to its end.
+_MAX_STALE_COUNT: Final = 4
+# A request sent this long before the target closes still arrives before.
+_KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 _MAX_HEAD_BYTES: Final = 65_536
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _SERVER_ERROR: Final = 500
@@ -96,15 +105,20 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLimits:
-    """Limits of the idle connections.
+    """Limits of the idle connections, and what targets send.
 
     :param idle_seconds: shorter than what targets keep idle connections, so
         that a request rarely meets a connection that is being closed.
     :param per_target_count: idle connections kept per address.
+    :param request_id_header: the header in which targets echo the id.
+    :param accepts_undelimited: whether a body may end with its connection;
+        the end of such a body is certain unless the connection is reset.
     """
 
     idle_seconds: float = 15.0
     per_target_count: int = 32
+    request_id_header: str = _REQUEST_ID
+    accepts_undelimited: bool = False
 
 
 class _Link:
@@ -121,13 +135,16 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self.idle_since_seconds: float = 0
+        self.idle_limit_seconds: float | None = None
         self.at_end = False
+        self.is_sending = False
+        self.was_reused = False
 
     def is_complete(self) -> bool:
         """Return whether the exchange ended and allows another one."""
         states = (self.http.our_state, self.http.their_state)
         return states == (h11.DONE, h11.DONE) and not (
-            self.at_end or self.http.trailing_data[0]
+            self.at_end or self.is_sending or self.http.trailing_data[0]
         )
 
     async def receive(self, timeout_seconds: float | None) -> None:
@@ -144,6 +161,32 @@
             event = self.http.next_event()
         return event
 
+    async def next_head(self) -> Any:
+        """Return the next final response head."""
+        event = await self.next_event(None)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event(None)
+        return event
+
+    async def skip_response(
+        self, address: str, head: RequestHead, body: bytes
+    ) -> None:
+        """Discard a response to an earlier request, to its end.
+
+        The bytes after it are parsed anew, as the response to the request
+        that has been sent last.
+        """
+        event = await self.next_event(None)
+        while not isinstance(event, h11.EndOfMessage):
+            event = await self.next_event(None)
+        remaining = self.http.trailing_data[0]
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        encode_request(self.http, address, head, body, keep=True)
+        if remaining:
+            self.http.receive_data(remaining)
+
 
 class TargetResponse:
     """A response whose head has arrived and whose body is read in chunks.
@@ -212,6 +255,13 @@
             content = self._take_arrived()
         return content
 
+    async def read_all(self) -> bytes:
+        """Return the whole body.
+
+        :raises TargetFailure: stage ANSWERING, when the body is incomplete.
+        """
+        return b''.join([chunk async for chunk in self.chunks()])
+
     async def close(self) -> None:
         """Return the connection to the pool, or close it when incomplete.
 
@@ -365,6 +415,7 @@
             link.stream.close()
             return
         link.http.start_next_cycle()
+        link.was_reused = True
         link.idle_since_seconds = self._clock()
         idle.append(link)
 
@@ -403,6 +454,9 @@
         while links:
             link = links.pop()
             recent = link.idle_since_seconds >= oldest_seconds
+            if link.idle_limit_seconds is not None:
+                idle_seconds = self._clock() - link.idle_since_seconds
+                recent = recent and idle_seconds < link.idle_limit_seconds
             if recent and link.stream.is_reusable():
                 return link
             link.stream.close()
@@ -457,9 +511,9 @@
     ) -> TargetResponse:
         try:
             event = await self._send_and_wait(
-                link, _with_request_id(head, request_id), body, limits
+                link, self._with_request_id(head, request_id), body, limits
             )
-            _check_head(head.method, event, request_id)
+            self._check_delimited(head.method, event)
         except TargetFailure as failure:
             link.stream.close()
             self.forget_path(link.address, failure.reason)
@@ -468,6 +522,7 @@
             # The task was cancelled, which cancels the request as well.
             link.stream.close()
             raise
+        link.idle_limit_seconds = _idle_limit_seconds(event)
         return TargetResponse(
             self, link, event, limits.progress_timeout_seconds
         )
@@ -477,8 +532,7 @@
     ) -> Any:
         before_bytes = link.stream.sent_bytes
         try:
-            await _send(link, head, body, limits)
-            return await _wait_head(link, limits)
+            return await self._await_head(link, head, body, limits)
         except TargetFailure:
             raise
         except (OSError, WaitTimeoutError, h11.ProtocolError) as error:
@@ -489,50 +543,107 @@
                 f'{link.address}: {error}',
             ) from error
 
+    async def _await_head(
+        self, link: _Link, head: RequestHead, body: bytes, limits: ServiceLimits
+    ) -> Any:
+        """Send a request and return the head of its own response."""
+        content = encode_request(link.http, link.address, head, body, keep=True)
+        patience_seconds = limits.progress_timeout_seconds
+        if len(content) <= _INLINE_BODY_BYTES:
+            await link.stream.write(content, patience_seconds)
+            return await self._wait_head(link, head, body, limits)
+        # A target may answer before it has read a long body.
+        link.is_sending = True
+        sender = await curio.spawn(_send, link, content, patience_seconds)
+        try:
+            return await self._wait_head(link, head, body, limits)
+        finally:
+            if link.is_sending:
+                await sender.cancel()
+            else:
+                await _collect(sender)
 
-async def _send(
-    link: _Link, head: RequestHead, body: bytes, limits: ServiceLimits
-) -> None:
-    content = encode_request(link.http, link.address, head, body, keep=True)
-    await link.stream.write(content, limits.progress_timeout_seconds)
-
-
-async def _wait_head(link: _Link, limits: ServiceLimits) -> Any:
-    timeout_seconds = limits.first_byte_timeout_seconds
-    try:
-        async with curio.timeout_after(timeout_seconds):
-            event = await link.next_event(None)
-            while isinstance(event, h11.InformationalResponse):
-                event = await link.next_event(None)
-            return event
-    except curio.TaskTimeout:
-        raise TargetFailure(
-            FailureStage.SENT,
-            FailureReason.FIRST_BYTE_TIMEOUT,
-            f'{link.address}: no response head for {timeout_seconds:g} s',
-        ) from None
+    async def _wait_head(
+        self, link: _Link, head: RequestHead, body: bytes, limits: ServiceLimits
+    ) -> Any:
+        timeout_seconds = limits.first_byte_timeout_seconds
+        try:
+            async with curio.timeout_after(timeout_seconds):
+                return await self._own_head(link, head, body)
+        except curio.TaskTimeout:
+            raise TargetFailure(
+                FailureStage.SENT,
+                FailureReason.FIRST_BYTE_TIMEOUT,
+                f'{link.address}: no response head for {timeout_seconds:g} s',
+            ) from None
 
+    async def _own_head(
+        self, link: _Link, head: RequestHead, body: bytes
+    ) -> Any:
+        """Return the head with the id of this request.
 
-def _check_head(method: str, event: Any, request_id: str) -> None:
-    """Check that the response is for this request and has an end marker."""
-    headers = decode_headers(event.headers)
-    echoed = find_header(headers, _REQUEST_ID)
-    if echoed != request_id:
+        A target may send a second response to an earlier request, late
+        enough to arrive in the place of this one.
+        """
+        name = self._pool_limits.request_id_header
+        request_id = head.header(name)
+        for _ in range(_MAX_STALE_COUNT):
+            event = await link.next_head()
+            echoed = find_header(decode_headers(event.headers), name)
+            if echoed == request_id:
+                return event
+            if echoed is None or not link.was_reused:
+                break
+            await link.skip_response(link.address, head, body)
         raise TargetFailure(
             FailureStage.SENT,
             FailureReason.MISMATCH,
             f'request id {echoed} instead of {request_id}',
         )
-    if method == 'HEAD' or event.status_code in _BODILESS_STATUSES:
-        return
-    if not _is_delimited(headers):
-        raise TargetFailure(
-            FailureStage.SENT,
-            FailureReason.PROTOCOL,
-            'neither Content-Length nor chunked: the end cannot be verified',
+
+    def _check_delimited(self, method: str, event: Any) -> None:
+        """Check that the end of the response can be verified."""
+        if method == 'HEAD' or event.status_code in _BODILESS_STATUSES:
+            return
+        headers = decode_headers(event.headers)
+        if not (
+            self._pool_limits.accepts_undelimited or _is_delimited(headers)
+        ):
+            raise TargetFailure(
+                FailureStage.SENT,
+                FailureReason.PROTOCOL,
+                'neither Content-Length nor chunked: the end cannot be '
+                'verified',
+            )
+
+    def _with_request_id(
+        self, head: RequestHead, request_id: str
+    ) -> RequestHead:
+        name = self._pool_limits.request_id_header
+        headers = tuple(
+            pair for pair in head.headers if pair[0].lower() != name.lower()
+        )
+        return RequestHead(
+            head.method, head.path, (*headers, (name, request_id))
         )
 
 
+async def _send(link: _Link, content: bytes, patience_seconds: float) -> None:
+    try:
+        await link.stream.write(content, patience_seconds)
+    except (OSError, WaitTimeoutError) as error:
+        # The reader of the response meets the broken connection itself.
+        _LOGGER.debug('sending to %s ended: %s', link.address, error)
+        link.stream.shutdown()
+        return
+    link.is_sending = False
+
+
+async def _collect(task: Any) -> None:
+    """Wait for a task that ends by itself."""
+    await task.join()
+
+
 def _is_delimited(headers: Headers) -> bool:
     return any(
         find_header(headers, name) is not None
@@ -540,15 +651,6 @@
     )
 
 
-def _with_request_id(head: RequestHead, request_id: str) -> RequestHead:
-    headers = tuple(
-        pair for pair in head.headers if pair[0].lower() != _REQUEST_ID.lower()
-    )
-    return RequestHead(
-        head.method, head.path, (*headers, (_REQUEST_ID, request_id))
-    )
-
-
 def _reason_of(error: Exception, link: _Link) -> FailureReason:
     if isinstance(error, WaitTimeoutError):
         return FailureReason.PROGRESS_TIMEOUT
@@ -565,6 +667,16 @@
     return FailureReason.PROTOCOL
 
 
+def _idle_limit_seconds(event: Any) -> float | None:
+    """Return how long the target keeps the connection, None if unknown."""
+    keep_alive = find_header(decode_headers(event.headers), 'Keep-Alive') or ''
+    for parameter in keep_alive.split(','):
+        name, _, number = parameter.strip().partition('=')
+        if name.lower() == 'timeout' and number.isdigit():
+            return max(0, int(number) - _KEEP_ALIVE_MARGIN_SECONDS)
+    return None
+
+
 def _parse_instance(body: bytes) -> str:
     with contextlib.suppress(ValueError):
         document = json.loads(body)
--- a/src/dotterelhatch/platform/__init__.py
+++ b/src/dotterelhatch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the services that the platform provides."""
+"""Adapter to the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/src/dotterelhatch/platform/endpoints.py
@@ -0,0 +1,52 @@
+"""What the platform and callers ask a router: readiness and addresses."""
+
+import json
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+from dotterelhatch.gateway.daemon import Gateway
+from dotterelhatch.ids import FailureDomain
+from dotterelhatch.net.http import Response, ServerExchange
+
+__all__ = ('DirectoryHandler', 'ReadinessHandler')
+
+_JSON: Final = (('Content-Type', 'application/json'),)
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+_NOT_FOUND: Final = 404
+
+
+class ReadinessHandler:
+    """Answers ``GET /readiness``."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        """Keep the gateway."""
+        self._gateway = gateway
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer with 200 while callers should send requests here."""
+        is_ready = self._gateway.state.is_ready
+        status = _OK if is_ready else _UNAVAILABLE
+        await exchange.send(Response(status, (), b''))
+
+
+class DirectoryHandler:
+    """Answers ``GET /resolve`` with addresses for a caller."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        """Keep the gateway."""
+        self._gateway = gateway
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Name the routers that take requests."""
+        parts = urlsplit(exchange.head.path)
+        if parts.path != '/resolve':
+            await exchange.send(Response(_NOT_FOUND, (), b''))
+            return
+        zone = parse_qs(parts.query).get('zone', [''])[0]
+        addresses = self._gateway.caller_addresses(FailureDomain(zone))
+        ttl_seconds = self._gateway.settings.leaving.address_ttl_seconds
+        document = {'addresses': addresses, 'ttl-s': ttl_seconds}
+        status = _OK if addresses else _UNAVAILABLE
+        body = json.dumps(document).encode()
+        await exchange.send(Response(status, _JSON, body))
--- /dev/null
+++ b/src/dotterelhatch/platform/feeds.py
@@ -0,0 +1,225 @@
+"""Follows the tables of the store and announces this router there."""
+
+import json
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import curio
+
+from dotterelhatch.gateway.daemon import Gateway
+from dotterelhatch.gateway.decisions import Decision, log_decision
+from dotterelhatch.gateway.snapshots import Snapshot
+from dotterelhatch.platform.documents import (
+    decode_routing_table,
+    decode_targets,
+)
+from dotterelhatch.platform.mirror import TableMirror
+from dotterelhatch.platform.store import HistoryGone, Store, StoreError
+
+__all__ = ('Announcer', 'StoreFollower')
+
+_LOGGER: Final = logging.getLogger(__name__)
+# A call that brings no change ends after this time. It bounds how long a
+# connection that went silent is waited for; a version has to be in force 2 s
+# after it was written.
+_WAIT_SECONDS: Final = 1.5
+_FIRST_PAUSE_SECONDS: Final = 0.15
+_PAUSE_LIMIT_SECONDS: Final = 0.6
+_OPERATOR_TABLE: Final = 'op'
+_SERVER_TABLE: Final = 'servers'
+_CONFIG_KEY: Final = 'config'
+_ROUTER_TABLE: Final = 'dotterelhatch-routers'
+# Routers find one another by heartbeats; the table is for those that start
+# while none of their seeds is left.
+_ANNOUNCE_SECONDS: Final = 5.0
+# A router whose heartbeats have stopped for so long is not coming back under
+# the same row.
+_STALE_READS_COUNT: Final = 6
+
+
+class StoreFollower:
+    """Keeps the routing table and the targets of a gateway up to date.
+
+    :param store: the source.
+    :param gateway: gets what was read, and passes it on to its peers.
+    """
+
+    def __init__(self, store: Store, gateway: Gateway) -> None:
+        """Register for documents that peers pass on."""
+        self._store = store
+        self._gateway = gateway
+        self._regained_seconds: float | None = None
+        self._mirrors = {
+            name: TableMirror(name) for name in (_OPERATOR_TABLE, _SERVER_TABLE)
+        }
+        gateway.shelf.subscribe(_OPERATOR_TABLE, self._apply_operator)
+        gateway.shelf.subscribe(_SERVER_TABLE, self._apply_servers)
+
+    async def follow_operator(self) -> None:
+        """Follow what the operator writes."""
+        await self._follow(self._mirrors[_OPERATOR_TABLE])
+
+    async def follow_servers(self) -> None:
+        """Follow the entries of the servers."""
+        await self._follow(self._mirrors[_SERVER_TABLE])
+
+    async def _follow(self, mirror: TableMirror) -> None:
+        pause_seconds = _FIRST_PAUSE_SECONDS
+        since: int | None = None
+        is_lost = False
+        while True:
+            try:
+                since = await self._step(mirror, since, is_lost)
+            except StoreError as error:
+                if not is_lost:
+                    self._note_lost(mirror, error)
+                is_lost = True
+                if isinstance(error, HistoryGone):
+                    since = None
+                await curio.sleep(pause_seconds)
+                pause_seconds = min(_PAUSE_LIMIT_SECONDS, 2 * pause_seconds)
+            else:
+                if is_lost:
+                    self._note_regained(mirror)
+                is_lost = False
+                pause_seconds = _FIRST_PAUSE_SECONDS
+
+    async def _step(
+        self, mirror: TableMirror, since: int | None, is_lost: bool
+    ) -> int:
+        """Read once; return the version to go on from."""
+        if since is None:
+            page = await self._store.read_table(mirror.name)
+            if not mirror.replace(page):
+                raise StoreError('the answer is older than what is known')
+        else:
+            page = await self._store.read_changes(
+                mirror.name, since, 0 if is_lost else _WAIT_SECONDS
+            )
+            mirror.apply(page)
+        if is_lost and mirror.name == _SERVER_TABLE:
+            self._regained_seconds = self._gateway.state.clock()
+        self._gateway.note_source(mirror.name)
+        if since is None or page.rows:
+            await self._gateway.shelf.offer(mirror.snapshot())
+        return page.version
+
+    def _note_lost(self, mirror: TableMirror, error: StoreError) -> None:
+        self._gateway.state.metrics.source_up.labels(mirror.name).set(0)
+        log_decision(
+            Decision.DEPENDENCY_LOST,
+            dependency='store',
+            document=mirror.name,
+            version=mirror.version,
+            reason=str(error),
+        )
+
+    def _note_regained(self, mirror: TableMirror) -> None:
+        self._gateway.state.metrics.source_up.labels(mirror.name).set(1)
+        log_decision(
+            Decision.DEPENDENCY_REGAINED,
+            dependency='store',
+            document=mirror.name,
+            version=mirror.version,
+        )
+
+    async def _apply_operator(self, snapshot: Snapshot) -> None:
+        mirror = self._take(snapshot)
+        for row in mirror.rows:
+            if row.key != _CONFIG_KEY or row.content is None:
+                continue
+            try:
+                table = decode_routing_table(row.content)
+            except ValueError as error:
+                _LOGGER.error('configuration not applied: %s', error)
+                continue
+            self._gateway.state.apply_table(table)
+
+    async def _apply_servers(self, snapshot: Snapshot) -> None:
+        mirror = self._take(snapshot)
+        self._gateway.state.apply_targets(
+            decode_targets(mirror.rows), self._regained_seconds
+        )
+
+    def _take(self, snapshot: Snapshot) -> TableMirror:
+        mirror = self._mirrors[snapshot.name]
+        if snapshot.version > mirror.version:
+            mirror.restore(snapshot)
+        return mirror
+
+
+class Announcer:
+    """Writes where this router is, and reads where the others are.
+
+    :param store: holds a row for each router.
+    :param gateway: the router.
+    """
+
+    def __init__(self, store: Store, gateway: Gateway) -> None:
+        """Start unannounced."""
+        self._store = store
+        self._gateway = gateway
+        self._is_announced = False
+        self._silent_reads: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Announce the router and look for others from time to time."""
+        while True:
+            await self._attempt(self._update)
+            await curio.sleep(_ANNOUNCE_SECONDS)
+
+    async def withdraw(self) -> None:
+        """Remove the row of this router."""
+        await self._attempt(self._remove_own)
+
+    async def _attempt(self, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except StoreError as error:
+            _LOGGER.info('router table not reached: %s', error)
+
+    async def _update(self) -> None:
+        settings = self._gateway.settings
+        if not self._is_announced:
+            content = json.dumps({'heartbeat': settings.heartbeat_address})
+            await self._store.write_row(
+                _ROUTER_TABLE, settings.router_id, content.encode()
+            )
+            self._is_announced = True
+        page = await self._store.read_table(_ROUTER_TABLE)
+        state = self._gateway.state
+        now_seconds = state.clock()
+        live = {peer.router for peer in state.peers.live(now_seconds)}
+        live.add(settings.router_id)
+        for row in page.rows:
+            if row.key in live:
+                self._silent_reads.pop(row.key, None)
+                continue
+            silent_count = self._silent_reads.get(row.key, 0) + 1
+            self._silent_reads[row.key] = silent_count
+            if silent_count > _STALE_READS_COUNT:
+                await self._store.remove_row(
+                    _ROUTER_TABLE, row.key, row.version
+                )
+            else:
+                address = _heartbeat_address(row.content or b'')
+                state.peers.add_addresses(address, now_seconds)
+
+    async def _remove_own(self) -> None:
+        settings = self._gateway.settings
+        page = await self._store.read_table(_ROUTER_TABLE)
+        for row in page.rows:
+            if row.key == settings.router_id:
+                await self._store.remove_row(
+                    _ROUTER_TABLE, row.key, row.version
+                )
+
+
+def _heartbeat_address(content: bytes) -> list[str]:
+    try:
+        address = json.loads(content)['heartbeat']
+    except (ValueError, KeyError, TypeError) as error:
+        _LOGGER.warning('ignored a row of the router table: %r', error)
+        return []
+    return [address] if isinstance(address, str) else []
--- /dev/null
+++ b/src/dotterelhatch/platform/mirror.py
@@ -0,0 +1,82 @@
+"""Copies of tables of the store, passed on between routers as snapshots."""
+
+import base64
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from dotterelhatch.gateway.snapshots import Snapshot
+from dotterelhatch.platform.store import RowChange, RowsPage
+
+__all__ = ('TableMirror', 'decode_rows')
+
+
+class TableMirror:
+    """The rows of one table and the version up to which they are complete.
+
+    :param name: of the table.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Start empty, before the first read."""
+        self.name = name
+        self.version = -1
+        self._rows: dict[str, RowChange] = {}
+
+    @property
+    def rows(self) -> list[RowChange]:
+        """Return the rows."""
+        return list(self._rows.values())
+
+    def replace(self, page: RowsPage) -> bool:
+        """Take over a whole table; return whether it is not an older one."""
+        if page.version < self.version:
+            return False
+        self._rows = {row.key: row for row in page.rows}
+        self.version = page.version
+        return True
+
+    def apply(self, page: RowsPage) -> None:
+        """Take over changes, of which repeated and older ones are ignored."""
+        for row in page.rows:
+            known = self._rows.get(row.key)
+            if known is not None and known.version >= row.version:
+                continue
+            if row.content is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+            self.version = max(self.version, row.version)
+
+    def snapshot(self) -> Snapshot:
+        """Return the copy as a document."""
+        rows: list[Any] = [
+            [
+                row.key,
+                base64.b64encode(row.content or b'').decode(),
+                row.version,
+            ]
+            for row in sorted(self._rows.values(), key=lambda row: row.key)
+        ]
+        content = json.dumps(rows, separators=(',', ':')).encode()
+        return Snapshot(self.name, self.version, content)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take over a document that a peer passed on."""
+        rows = decode_rows(snapshot.content)
+        self._rows = {row.key: row for row in rows}
+        self.version = snapshot.version
+
+
+def decode_rows(content: bytes) -> Iterable[RowChange]:
+    """Return the rows in a document.
+
+    :raises ValueError: when it is malformed.
+    """
+    try:
+        return [
+            RowChange(str(key), base64.b64decode(encoded), int(version))
+            for key, encoded, version in json.loads(content)
+        ]
+    except (TypeError, AttributeError) as error:
+        raise ValueError(f'malformed snapshot: {error}') from error
--- /dev/null
+++ b/src/dotterelhatch/platform/settings.py
@@ -0,0 +1,181 @@
+"""The platform's settings file as gateway settings."""
+
+import tomllib
+from pathlib import Path
+from typing import Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
+from dotterelhatch.gateway.settings import (
+    GatewaySettings,
+    LeavingSettings,
+    RepeatSettings,
+)
+from dotterelhatch.ids import FailureDomain, RouterId
+
+__all__ = (
+    'METRICS_PATH',
+    'METRICS_PORT',
+    'PlatformProcess',
+    'load_settings',
+    'parse_settings',
+)
+
+# The deploy file names the same port and path.
+METRICS_PORT: Final = 9464
+METRICS_PATH: Final = '/metrics'
+_MEGABYTE: Final = 1024 * 1024
+# Half of the longest time that callers may keep an answer: a machine that
+# leaves is out of most answers before it stops.
+_TTL_SHARE: Final = 0.4
+_FILE_DESCRIPTORS_COUNT: Final = 200
+
+
+class _Table(BaseModel):
+    """A table of the file; fields that are not explained are ignored."""
+
+    model_config = ConfigDict(extra='ignore', frozen=True)
+
+
+class _Listen(_Table):
+    """Addresses by what is served there.
+
+    ``front`` takes requests, ``ready`` answers readiness checks, ``control``
+    is for the other routers, ``directory`` tells callers where to connect.
+    """
+
+    front: str
+    ready: str
+    control: str
+    directory: str
+
+
+class _Limits(_Table):
+    memory_mb: float = Field(alias='memory-mb', default=256, gt=0)
+    max_fds: int = Field(alias='max-fds', default=4096, gt=0)
+
+
+class _Bounds(_Table):
+    grace_s: float = Field(alias='grace-s', default=8, gt=0)
+    retry_budget_ratio: float = Field(alias='retry-budget-ratio', default=0.2)
+    budget_window_s: float = Field(alias='budget-window-s', default=10)
+    budget_slack: float = Field(alias='budget-slack', default=20)
+    quota_window_s: float = Field(alias='quota-window-s', default=4)
+    ttl_max_s: float = Field(default=5, gt=0)
+
+
+class _Platform(_Table):
+    address: str
+
+
+class _SettingsFile(_Table):
+    """The fields of the file that the gateway uses."""
+
+    node_name: str = Field(alias='node-name', min_length=1)
+    ip: str
+    zone: str
+    region: str = ''
+    port_range: tuple[int, int] = Field(alias='port-range')
+    seeds: tuple[str, ...] = ()
+    listen: _Listen
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+    platform: _Platform
+
+
+class PlatformProcess:
+    """Settings of one process on the platform.
+
+    :param gateway: of the product.
+    :param store_address: of the platform's store.
+    :param ready_address: where readiness is asked.
+    :param directory_address: where callers ask for addresses.
+    """
+
+    def __init__(self, document: _SettingsFile) -> None:
+        """Derive the settings from the file."""
+        listen = document.listen
+        self.store_address = document.platform.address
+        self.ready_address = listen.ready
+        self.directory_address = listen.directory
+        self.gateway = _gateway_settings(document)
+
+
+def load_settings(path: Path) -> PlatformProcess:
+    """Read a settings file.
+
+    :raises DotterelhatchError: SETTINGS_INVALID, naming each wrong key.
+    """
+    try:
+        content = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise DotterelhatchError(
+            ErrorKind.SETTINGS_INVALID, f'{path}: {error}'
+        ) from error
+    return parse_settings(content)
+
+
+def parse_settings(content: str) -> PlatformProcess:
+    """Return the settings in the text of a file.
+
+    :raises DotterelhatchError: SETTINGS_INVALID, naming each wrong key.
+    """
+    try:
+        document = _SettingsFile.model_validate(tomllib.loads(content))
+        return PlatformProcess(document)
+    except tomllib.TOMLDecodeError as error:
+        raise DotterelhatchError(
+            ErrorKind.SETTINGS_INVALID, f'not TOML: {error}'
+        ) from error
+    except ValidationError as error:
+        raise DotterelhatchError(
+            ErrorKind.SETTINGS_INVALID, '; '.join(_problems(error))
+        ) from error
+
+
+def _problems(error: ValidationError) -> list[str]:
+    return [
+        '{}: {}'.format('.'.join(str(key) for key in one['loc']), one['msg'])
+        for one in error.errors()
+    ]
+
+
+def _gateway_settings(document: _SettingsFile) -> GatewaySettings:
+    listen = document.listen
+    limits = document.limits
+    bounds = document.bounds
+    heartbeat_port = document.port_range[0]
+    return GatewaySettings(
+        router_id=RouterId(document.node_name),
+        failure_domain=FailureDomain(document.zone),
+        region=document.region,
+        caller_address=listen.front,
+        control_address=listen.control,
+        heartbeat_address=f'{document.ip}:{heartbeat_port}',
+        metrics_address=f'{document.ip}:{METRICS_PORT}',
+        metrics_path=METRICS_PATH,
+        seed_addresses=_seed_addresses(document.seeds, heartbeat_port),
+        memory_limit_bytes=int(limits.memory_mb * _MEGABYTE),
+        descriptors_limit_count=max(
+            1, limits.max_fds - _FILE_DESCRIPTORS_COUNT
+        ),
+        share_window_seconds=bounds.quota_window_s,
+        repeats=RepeatSettings(
+            window_seconds=bounds.budget_window_s,
+            ratio=bounds.retry_budget_ratio,
+            slack_count=bounds.budget_slack,
+        ),
+        leaving=LeavingSettings(
+            address_ttl_seconds=bounds.ttl_max_s * _TTL_SHARE,
+            limit_seconds=bounds.grace_s,
+        ),
+    )
+
+
+def _seed_addresses(seeds: tuple[Any, ...], port: int) -> tuple[str, ...]:
+    """Return heartbeat addresses; the file names control addresses.
+
+    The ports are the same on all machines.
+    """
+    return tuple(f'{seed.rpartition(":")[0]}:{port}' for seed in seeds)
--- /dev/null
+++ b/src/dotterelhatch/platform/wire.py
@@ -0,0 +1,163 @@
+"""Headers of callers and servers on the platform."""
+
+import json
+import math
+from typing import Final
+
+from dotterelhatch.core.prompts import Prompt, PromptPart
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
+from dotterelhatch.gateway.wireformat import Forwarding, RequestFacts
+from dotterelhatch.ids import RequestId
+from dotterelhatch.net.heads import Headers, RequestHead, Response, find_header
+
+__all__ = ('PlatformWire',)
+
+_REQUEST_ID: Final = 'Dotterelhatch-Request-Id'
+# How many milliseconds the sender of the request waits, from now on.
+_DEADLINE: Final = 'Dotterelhatch-Deadline-Ms'
+# The organisation, set by the router from the key.
+_TENANT: Final = 'Dotterelhatch-Tenant'
+_EXPECT_INSTANCE: Final = 'Dotterelhatch-Expect-Instance'
+_NOT_EXECUTED: Final = 'Dotterelhatch-Not-Executed'
+# "prompt tokens, largest number of output tokens"
+_TOKEN_COUNTS: Final = 'Dotterelhatch-Token-Counts'
+# "ID:TOKENS" of each part of the prompt; the last part is not shared.
+_PROMPT_PREFIX: Final = 'Dotterelhatch-Prompt-Prefix'
+_LAST_EVENT_ID: Final = 'Last-Event-Id'
+_AUTHORIZATION: Final = 'Authorization'
+_BEARER: Final = 'bearer '
+_MISDIRECTED: Final = 421
+_MILLISECONDS: Final = 1000
+# Set by routers only, or for the router only.
+_REMOVED: Final = frozenset(
+    name.lower()
+    for name in (
+        _AUTHORIZATION,
+        _DEADLINE,
+        _TENANT,
+        _EXPECT_INSTANCE,
+        _LAST_EVENT_ID,
+        'Dotterelhatch-Hold',
+        'Dotterelhatch-Pin-Ms',
+        'Dotterelhatch-Kv-Backup',
+        'Kv-From',
+        'Kv-Fetch',
+    )
+)
+
+
+class PlatformWire:
+    """The platform's headers in the gateway's types."""
+
+    request_id_header = _REQUEST_ID
+
+    def decode_request(self, head: RequestHead) -> RequestFacts:
+        """Return what a request says.
+
+        :raises DotterelhatchError: BAD_REQUEST.
+        """
+        request_id = head.header(_REQUEST_ID)
+        if not request_id:
+            raise _bad_request(f'{_REQUEST_ID} is missing')
+        host = (head.header('Host') or '').partition(':')[0]
+        return RequestFacts(
+            request_id=RequestId(request_id),
+            host=host,
+            path=head.path,
+            api_key=_api_key(head),
+            deadline_seconds=_deadline_seconds(head),
+            prompt=_prompt(head),
+            last_event_id=head.header(_LAST_EVENT_ID),
+        )
+
+    def encode_request(
+        self, head: RequestHead, facts: RequestFacts, forwarding: Forwarding
+    ) -> RequestHead:
+        """Return the head to send to a server."""
+        headers = [
+            pair for pair in head.headers if pair[0].lower() not in _REMOVED
+        ]
+        remaining_ms = forwarding.remaining_seconds * _MILLISECONDS
+        headers.append((_DEADLINE, str(max(1, math.floor(remaining_ms)))))
+        headers.append((_EXPECT_INSTANCE, forwarding.target))
+        if forwarding.organisation is not None:
+            headers.append((_TENANT, forwarding.organisation))
+        if forwarding.last_event_id is not None:
+            headers.append((_LAST_EVENT_ID, forwarding.last_event_id))
+        return RequestHead(head.method, head.path, tuple(headers))
+
+    def is_not_executed(self, status: int, headers: Headers) -> bool:
+        """Return whether a server says that it did not run the request."""
+        return (
+            status == _MISDIRECTED
+            or find_header(headers, _NOT_EXECUTED) is not None
+        )
+
+    def is_other_instance(self, status: int) -> bool:
+        """Return whether another server has the address."""
+        return status == _MISDIRECTED
+
+    def render_error(
+        self, error: DotterelhatchError, request_id: RequestId | None = None
+    ) -> Response:
+        """Return the response for an error of this router."""
+        document = {'error': error.kind.value, 'detail': error.detail}
+        headers = [('Content-Type', 'application/json')]
+        if request_id is not None:
+            headers.append((_REQUEST_ID, request_id))
+        if error.retry_after_seconds is not None:
+            headers.append(('Retry-After', f'{error.retry_after_seconds:g}'))
+        return Response(
+            error.answer.status, tuple(headers), json.dumps(document).encode()
+        )
+
+
+def _api_key(head: RequestHead) -> str | None:
+    credentials = head.header(_AUTHORIZATION)
+    if credentials is None:
+        return None
+    if not credentials.lower().startswith(_BEARER):
+        return None
+    return credentials[len(_BEARER) :].strip()
+
+
+def _deadline_seconds(head: RequestHead) -> float | None:
+    text = head.header(_DEADLINE)
+    if text is None:
+        return None
+    try:
+        milliseconds = float(text)
+    except ValueError:
+        raise _bad_request(f'{_DEADLINE}: {text!r} is no number') from None
+    if not math.isfinite(milliseconds) or milliseconds < 0:
+        raise _bad_request(f'{_DEADLINE}: {text!r} is no time')
+    return milliseconds / _MILLISECONDS
+
+
+def _prompt(head: RequestHead) -> Prompt | None:
+    counts = head.header(_TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        input_tokens, output_tokens = (
+            int(count) for count in counts.split(',', 1)
+        )
+        parts = _parts(head.header(_PROMPT_PREFIX) or '')
+    except ValueError:
+        raise _bad_request(
+            f'{_TOKEN_COUNTS} or {_PROMPT_PREFIX} is malformed'
+        ) from None
+    return Prompt(parts, max(0, input_tokens), max(0, output_tokens))
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(','):
+        if entry.strip():
+            name, _, tokens = entry.strip().partition(':')
+            parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def _bad_request(detail: str) -> DotterelhatchError:
+    return DotterelhatchError(ErrorKind.BAD_REQUEST, detail)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,7 +23,7 @@
 from pydantic import Field, ValidationError
 
 from dotterelhatch.fleet import FrozenModel
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     Clock,
     PlatformError,
     RateLimited,
@@ -32,14 +32,14 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from dotterelhatch.platform.memory import (
+from dotterelhatch.backing.memory import (
     Faults,
     MemoryHostList,
     MemoryObjectStore,
     MemoryTableService,
     MemoryWeightStore,
 )
-from dotterelhatch.platform.records import (
+from dotterelhatch.backing.records import (
     HOSTS,
     WEIGHTS,
     RowRecord,
--- a/tests/claimkit.py
+++ b/tests/claimkit.py
@@ -21,11 +21,11 @@
     RouterId,
     ServiceId,
 )
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     StoreUnavailable,
     WriteOutcomeUnknown,
 )
-from dotterelhatch.platform.memory import MemoryObjectStore, MemoryTableService
+from dotterelhatch.backing.memory import MemoryObjectStore, MemoryTableService
 
 
 @types.coroutine
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,7 +46,7 @@
     ServiceId,
     TargetId,
 )
-from dotterelhatch.platform.interfaces import HostEntry, HostRole, HostState
+from dotterelhatch.backing.interfaces import HostEntry, HostRole, HostState
 from dotterelhatch.settings import PlatformSettings, RouterSettings
 
 LINK_SECONDS = 0.002
--- a/tests/faketables.py
+++ b/tests/faketables.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Self
 
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     Row,
     StoreUnavailable,
     WriteConflict,
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -10,7 +10,7 @@
 import curio
 import pytest
 
-from dotterelhatch.platform.http import (
+from dotterelhatch.backing.http import (
     HttpHostList,
     HttpObjectStore,
     HttpTableService,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,7 @@
 from dotterelhatch.cli import _clients, app
 from dotterelhatch.errors import ANSWERS, ErrorKind
 from dotterelhatch.ids import RouterId
-from dotterelhatch.platform.interfaces import Row
+from dotterelhatch.backing.interfaces import Row
 from dotterelhatch.settings import RouterSettings
 from dotterelhatch.status import Figure, FleetStatus, MemberStatus
 from tests.faketables import FakeTables
--- a/tests/test_configstore.py
+++ b/tests/test_configstore.py
@@ -12,7 +12,7 @@
 from dotterelhatch.document import ConfigDocument, decode_document
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.ids import ConfigVersion
-from dotterelhatch.platform.interfaces import Row, StoreUnavailable
+from dotterelhatch.backing.interfaces import Row, StoreUnavailable
 from tests.faketables import FakeTables
 
 _Result = TypeVar('_Result')
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -36,7 +36,7 @@
     RouterId,
     TargetId,
 )
-from dotterelhatch.platform.interfaces import HostState
+from dotterelhatch.backing.interfaces import HostState
 from dotterelhatch.settings import ExchangeSettings
 from tests.fakes import (
     LINK_SECONDS,
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -6,7 +6,7 @@
 from platformkit import on_each
 
 from dotterelhatch.ids import FailureDomain
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing.interfaces import (
     HostEntry,
     HostRole,
     HostState,
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -12,9 +12,9 @@
 import pytest
 from platformkit import AMPLE_SECONDS, http, in_curio
 
-from dotterelhatch.platform._client import Client
-from dotterelhatch.platform.http import HttpTableService
-from dotterelhatch.platform.interfaces import (
+from dotterelhatch.backing._client import Client
+from dotterelhatch.backing.http import HttpTableService
+from dotterelhatch.backing.interfaces import (
     StoreUnavailable,
     WriteOutcomeUnknown,
 )
