Take no new requests late in a graceful stop

Change: the listener closes one lifetime after the signal; callers that keep an answer longer meet a refused connection, which they may retry.

--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -53,7 +53,10 @@
 _MEMORY_FOR_CONNECTIONS: Final = 0.25
 _LAST_MARGIN_SECONDS: Final = 0.6
 _ADDRESSES_COUNT: Final = 64
-_KEPT_TTL_FACTOR: Final = 3
+# Covers an answer that was on its way when the router began to leave. Callers
+# that keep it longer meet a refused connection and take another address; a
+# request that is taken later might not end within the grace period.
+_ANSWER_DELAY_SECONDS: Final = 0.3
 _HEARTBEAT_ADDRESSES_COUNT: Final = 8
 
 
@@ -173,7 +176,7 @@
         await self._beat()
         last_seconds = leaving.limit_seconds - _LAST_MARGIN_SECONDS
         await curio.sleep(
-            min(leaving.address_ttl_seconds * _KEPT_TTL_FACTOR, last_seconds)
+            min(leaving.address_ttl_seconds + _ANSWER_DELAY_SECONDS, last_seconds)
         )
         await self._callers.stop_accepting()
         remaining = last_seconds - (self.state.clock() - started_seconds)
