Admit fairly under overload, and tell returning callers from new ones

Wait limits were the same for all, late and returning requests took half of the capacity, and the limit of the most patient kind crowded out the others. Ruled out: the prediction of the first event (expected 261 ms, measured 258 ms on average); deadlines as a sign of a returning caller (they vary by 15%). Change: the wait limit falls under overload, with the share that an organisation used and for requests that are late already; returning requests are known by fingerprints that routers exchange; an engine with room is used even if another keeps more of the prompt.

--- /dev/null
+++ b/src/dotterelhatch/core/admission.py
@@ -0,0 +1,148 @@
+"""How long a request may wait for others at a model engine.
+
+While refusals are rare a request may wait as long as it is still answered in
+time, and a late one as long as others. Under lasting overload the queue is
+kept shorter, for these load patterns:
+
+- mixed kinds: a limit from the shortest objective of the service, so that no
+  kind of request is crowded out by a more patient one;
+- callers that were refused and come back late: they get only capacity that is
+  nearly idle, as an answer in time is worth several late ones;
+- one organisation with many times its usual load: whoever got more than the
+  max-min share lately waits less;
+- small organisations beside large ones: those far below their share wait as
+  if there were no overload;
+- one kind served less often than the others: it may wait longer.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ('AdmissionWindow', 'Claim', 'wait_limit_seconds')
+
+# Part of the shortest objective that may pass before an engine begins; the
+# rest is for the prompt itself.
+_WAIT_SHARE: Final = 0.75
+# From the arrival of an empty prompt at an idle engine to the first event at
+# the caller, with a margin for the error of the prediction.
+_FIXED_SECONDS: Final = 0.07
+# Long prompts may take this part of their objective and still wait for others.
+_READ_SHARE: Final = 0.4
+# Wait of a request that is late already, without and with overload.
+_LATE_WAIT_SHARE: Final = 0.8
+_LATE_WAIT_PRESSED_SECONDS: Final = 0.05
+# Share of refused requests from which the load counts as lasting overload.
+_FULL_PRESSURE: Final = 0.2
+# An organisation that got less than this part of its share is not asked to
+# make room for others.
+_MODEST_SHARE: Final = 0.7
+# Below the first share of its max-min share an organisation waits as long as
+# any; from there the limit falls, to the least factor at the second.
+_FULL_UNTIL_SHARE: Final = 0.9
+_LEAST_FROM_SHARE: Final = 1.4
+_LEAST_FACTOR: Final = 0.0
+# Bounds of the correction between kinds of requests.
+_KIND_LEAST: Final = 0.6
+_KIND_MOST: Final = 1.4
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What speaks for a request when there is not room for all.
+
+    :param age_seconds: since its caller sent it for the first time.
+    :param used_share: what its organisation got, relative to its share.
+    :param pressure: share of requests of the service refused lately.
+    :param kind_share: share of requests of its kind that were admitted
+        lately, relative to all kinds of the service.
+    """
+
+    age_seconds: float = 0
+    used_share: float = 0
+    pressure: float = 0
+    kind_share: float = 1
+
+
+def wait_limit_seconds(
+    claim: Claim,
+    objective_seconds: float,
+    shortest_objective_seconds: float,
+    read_seconds: float,
+) -> float:
+    """Return the longest acceptable wait.
+
+    :param objective_seconds: of the request itself.
+    :param shortest_objective_seconds: of all routes of the service.
+    :param read_seconds: predicted time to read the prompt.
+    """
+    pressed = min(1.0, claim.pressure / _FULL_PRESSURE)
+    pressed *= min(1.0, claim.used_share / _MODEST_SHARE)
+    read_seconds = min(read_seconds, objective_seconds * _READ_SHARE)
+    left_seconds = objective_seconds - claim.age_seconds
+    left_seconds -= read_seconds + _FIXED_SECONDS
+    if left_seconds > 0:
+        short = min(left_seconds, shortest_objective_seconds * _WAIT_SHARE)
+        limit = _between(left_seconds, short, pressed)
+    else:
+        patient = objective_seconds * _LATE_WAIT_SHARE
+        limit = _between(patient, _LATE_WAIT_PRESSED_SECONDS, pressed)
+    limit *= _share_factor(claim.used_share)
+    return limit * _kind_factor(claim.kind_share, pressed)
+
+
+def _between(calm: float, pressing: float, pressed: float) -> float:
+    return calm + (pressing - calm) * pressed
+
+
+def _share_factor(used_share: float) -> float:
+    if used_share <= _FULL_UNTIL_SHARE:
+        return 1.0
+    width = _LEAST_FROM_SHARE - _FULL_UNTIL_SHARE
+    excess = min(1.0, (used_share - _FULL_UNTIL_SHARE) / width)
+    return 1.0 - excess * (1.0 - _LEAST_FACTOR)
+
+
+def _kind_factor(kind_share: float, pressed: float) -> float:
+    correction = min(_KIND_MOST, max(_KIND_LEAST, 1 / max(kind_share, 0.1)))
+    return _between(1.0, correction, pressed)
+
+
+class AdmissionWindow:
+    """Admitted and refused requests of one service, by kind.
+
+    :param window_seconds: how far back requests count.
+    """
+
+    def __init__(self, window_seconds: float = 2.5) -> None:
+        """Start with nothing counted."""
+        self._window_seconds = window_seconds
+        self._samples: deque[tuple[float, str, bool]] = deque()
+        self._counts: dict[str, list[int]] = {}
+
+    def add(self, kind: str, now_seconds: float, *, admitted: bool) -> None:
+        """Count a request."""
+        self._trim(now_seconds)
+        self._samples.append((now_seconds, kind, admitted))
+        self._counts.setdefault(kind, [0, 0])[admitted] += 1
+
+    def pressure(self, now_seconds: float) -> float:
+        """Return the share of requests that were refused."""
+        self._trim(now_seconds)
+        refused = sum(counts[0] for counts in self._counts.values())
+        admitted = sum(counts[1] for counts in self._counts.values())
+        return refused / max(1, refused + admitted)
+
+    def kind_share(self, kind: str, now_seconds: float) -> float:
+        """Return the admitted share of a kind relative to all kinds."""
+        admitted_share = 1 - self.pressure(now_seconds)
+        refused, admitted = self._counts.get(kind, (0, 0))
+        # One more of each keeps a kind with few requests near the others.
+        own_share = (admitted + admitted_share) / (refused + admitted + 1)
+        return own_share / max(admitted_share, 0.05)
+
+    def _trim(self, now_seconds: float) -> None:
+        start_seconds = now_seconds - self._window_seconds
+        while self._samples and self._samples[0][0] < start_seconds:
+            _, kind, admitted = self._samples.popleft()
+            self._counts[kind][admitted] -= 1
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -14,6 +14,7 @@
 
 import mmh3
 
+from dotterelhatch.core.admission import Claim, wait_limit_seconds
 from dotterelhatch.core.load import LoadBoard, TargetLoad
 from dotterelhatch.core.prompts import Prompt, PromptPartCache
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
@@ -43,10 +44,6 @@
 _FULL_PENALTY_SECONDS: Final = 2.0
 _MEMORY_SHARE: Final = 0.9
 _OTHER_DOMAIN_SECONDS: Final = 0.002
-# Part of the objective that a request may wait for others, by whether its
-# organisation is within its share.
-_WAIT_SHARE: Final = 0.8
-_WAIT_SHARE_OVER: Final = 0.4
 _RETRY_MIN_SECONDS: Final = 0.2
 _RETRY_SPREAD_SECONDS: Final = 0.6
 # Queue of a plain target, in multiples of its slots, that still drains within
@@ -69,15 +66,16 @@
     """What one attempt of a request needs.
 
     :param remaining_seconds: until its deadline or the timeout of its route.
-    :param is_within_share: whether its organisation asked no more than its
-        share.
+    :param shortest_objective_seconds: of all routes to the service.
+    :param claim: what speaks for the request when there is not room for all.
     """
 
     route: RouteRule
     service: ServiceSpec
     prompt: Prompt | None
     remaining_seconds: float
-    is_within_share: bool = True
+    shortest_objective_seconds: float
+    claim: Claim = Claim()
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +85,7 @@
     :param wait_seconds: predicted time until the target begins.
     :param expected_seconds: predicted time to the first event or answer.
     :param kept_tokens: prompt tokens that the target keeps already.
+    :param spare_tokens: memory of the target beside running requests.
     """
 
     entry: TargetEntry
@@ -94,6 +93,7 @@
     wait_seconds: float
     expected_seconds: float
     kept_tokens: int
+    spare_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,23 +222,33 @@
         now_seconds: float,
     ) -> Placement | Refusal:
         ranks = _ranks(prompt.affinity_key, entries)
-        best = min(
-            (
-                self._prompt_option(
-                    entry, ranks[entry.id], engine, prompt, now_seconds
-                )
-                for entry in entries
-            ),
-            key=lambda option: option.score_seconds,
+        options = [
+            self._prompt_option(
+                entry, ranks[entry.id], engine, prompt, now_seconds
+            )
+            for entry in entries
+        ]
+        options.sort(key=lambda one: one.score_seconds)
+        for option in options:
+            placement = option.placement
+            if placement.wait_seconds <= self._limit_seconds(demand, placement):
+                return placement
+        shortest = min(
+            (one.placement for one in options),
+            key=lambda one: one.wait_seconds,
         )
-        placement = best.placement
-        share = _WAIT_SHARE if demand.is_within_share else _WAIT_SHARE_OVER
-        limit_seconds = min(
-            demand.route.objective_seconds * share, demand.remaining_seconds
+        return self._refuse(
+            shortest.wait_seconds, self._limit_seconds(demand, shortest)
         )
-        if placement.wait_seconds > limit_seconds:
-            return self._refuse(placement.wait_seconds, limit_seconds)
-        return placement
+
+    def _limit_seconds(self, demand: Demand, placement: Placement) -> float:
+        limit_seconds = wait_limit_seconds(
+            demand.claim,
+            demand.route.objective_seconds,
+            demand.shortest_objective_seconds,
+            placement.expected_seconds - placement.wait_seconds,
+        )
+        return min(limit_seconds, demand.remaining_seconds)
 
     def _prompt_option(
         self,
@@ -269,6 +279,7 @@
             wait_seconds,
             _FIRST_EVENT_SECONDS + wait_seconds + read_seconds,
             kept_tokens,
+            max(0, engine.memory_tokens - used_tokens),
         )
         return _Option(score, placement)
 
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -1,12 +1,20 @@
 """Peers of a gateway, known by their heartbeats."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.messages import CrashReport
-from dotterelhatch.ids import FailureDomain, Incarnation, RouterId, TargetId
+from dotterelhatch.core.prompts import SentPrompt
+from dotterelhatch.core.shares import Usage
+from dotterelhatch.ids import (
+    FailureDomain,
+    Incarnation,
+    OrganisationId,
+    RouterId,
+    TargetId,
+)
 
 __all__ = ('Heartbeat', 'Peer', 'PeerBoard', 'heartbeat_interval_seconds')
 
@@ -15,7 +23,9 @@
 _LIVE_SECONDS: Final = 2.0
 # Addresses of silent peers are kept and tried, because a cut ends.
 _FORGOTTEN_SECONDS: Final = 60.0
-_SHORTEST_INTERVAL_SECONDS: Final = 0.25
+# A queue at an engine drains within a few tenths of a second, and routers that
+# know less of each other's work than that place requests blindly.
+_SHORTEST_INTERVAL_SECONDS: Final = 0.1
 # Keeps the datagrams that a router receives below 34 per second.
 _INTERVAL_PER_PEER_SECONDS: Final = 0.03
 
@@ -30,8 +40,12 @@
     :param is_ready: whether callers should be sent there.
     :param snapshot_versions: version of each document it has.
     :param loads: what it has sent to each target.
+    :param usages: what organisations asked and got there lately.
     :param is_source_seen: whether the source of the documents answered lately.
     :param crashes: requests that ran on a target while it crashed.
+    :param sent_prompts: prompts sent since the last heartbeat.
+    :param refused: fingerprints of requests refused since the last heartbeat,
+        with the seconds since each was sent first.
     :param known_addresses: heartbeat addresses of live peers.
     """
 
@@ -45,8 +59,11 @@
     is_ready: bool
     snapshot_versions: Mapping[str, int]
     loads: Mapping[TargetId, TargetLoad]
+    usages: Mapping[OrganisationId, Usage] = field(default_factory=dict)
     is_source_seen: bool = False
     crashes: tuple[CrashReport, ...] = ()
+    sent_prompts: tuple[SentPrompt, ...] = ()
+    refused: tuple[tuple[str, float], ...] = ()
     known_addresses: tuple[str, ...] = ()
 
 
--- a/src/dotterelhatch/core/prompts.py
+++ b/src/dotterelhatch/core/prompts.py
@@ -5,7 +5,7 @@
 
 from dotterelhatch.ids import TargetId
 
-__all__ = ('Prompt', 'PromptPart', 'PromptPartCache')
+__all__ = ('Prompt', 'PromptPart', 'PromptPartCache', 'SentPrompt')
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,19 +40,28 @@
         return '/'.join(part.id for part in self.shared_parts)
 
 
+@dataclass(frozen=True, slots=True)
+class SentPrompt:
+    """A prompt that a router sent to a target.
+
+    :param spare_tokens: memory of the target beside running requests.
+    """
+
+    target: TargetId
+    parts: tuple[PromptPart, ...]
+    spare_tokens: int
+
+
 class PromptPartCache:
     """Estimate of the prompt parts that each target still keeps.
 
-    An engine drops the least recently used parts when its memory is full, and
-    the estimate does the same with what was sent there.
-
-    :param capacity_share: part of the memory of an engine that kept parts
-        have beside running requests.
+    An engine drops the least recently used parts when its memory is full. The
+    estimate does the same with what all routers sent there; the parts that
+    belong to one request count too, as they push out the shared ones.
     """
 
-    def __init__(self, capacity_share: float = 0.6) -> None:
+    def __init__(self) -> None:
         """Start with nothing kept."""
-        self._capacity_share = capacity_share
         self._kept: dict[TargetId, OrderedDict[str, int]] = {}
         self._totals: dict[TargetId, int] = {}
 
@@ -70,20 +79,18 @@
             total += part.tokens_count
         return total
 
-    def on_sent(
-        self, target: TargetId, prompt: Prompt, memory_tokens: int
-    ) -> None:
-        """Note that a target reads the shared parts of a prompt."""
-        kept = self._kept.setdefault(target, OrderedDict())
-        total = self._totals.get(target, 0)
+    def on_sent(self, sent: SentPrompt) -> None:
+        """Note that a target reads a prompt."""
+        kept = self._kept.setdefault(sent.target, OrderedDict())
+        total = self._totals.get(sent.target, 0)
         chain = ''
-        for part in prompt.parts:
+        for part in sent.parts:
             chain = f'{chain}/{part.id}'
             total += part.tokens_count - kept.pop(chain, 0)
             kept[chain] = part.tokens_count
-        while kept and total > memory_tokens * self._capacity_share:
+        while kept and total > sent.spare_tokens:
             total -= kept.popitem(last=False)[1]
-        self._totals[target] = total
+        self._totals[sent.target] = total
 
     def forget(self, target: TargetId) -> None:
         """Drop the estimate of a target that started anew or left."""
--- a/src/dotterelhatch/core/routes.py
+++ b/src/dotterelhatch/core/routes.py
@@ -1,6 +1,7 @@
 """Routing table: which service a request goes to, and on whose account."""
 
 import enum
+import math
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -121,12 +122,20 @@
     _by_host: dict[str, dict[str, RouteRule]] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
+    _objectives: dict[ServiceId, float] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     def __post_init__(self) -> None:
         """Index the routes by host and prefix."""
         for route in self.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
+            for share in route.shares:
+                known = self._objectives.get(share.service, math.inf)
+                self._objectives[share.service] = min(
+                    known, route.objective_seconds
+                )
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Return the route with the longest prefix that begins the path.
@@ -145,6 +154,10 @@
             end = candidate.rfind('/', 0, end)
         return None
 
+    def shortest_objective_seconds(self, service: ServiceId) -> float:
+        """Return the shortest objective of all routes to a service."""
+        return self._objectives.get(service, math.inf)
+
     def find_organisation(self, key: str) -> OrganisationId | None:
         """Return the organisation that holds an API key."""
         if self.organisations_by_key is None:
--- a/src/dotterelhatch/core/shares.py
+++ b/src/dotterelhatch/core/shares.py
@@ -1,11 +1,16 @@
 """Max-min shares of the organisations over a sliding window."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Final
 
-from dotterelhatch.ids import OrganisationId
+from dotterelhatch.ids import OrganisationId, RouterId
 
-__all__ = ('ShareMeter', 'water_level')
+__all__ = ('ShareMeter', 'Usage', 'water_level')
+
+# Usage that a peer reported longer ago than this is out of date.
+_REPORT_LIFETIME_SECONDS: Final = 2.0
 
 
 def water_level(demands: list[float], capacity: float) -> float:
@@ -29,18 +34,46 @@
     return float('inf')
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of one organisation within the window.
+
+    :param asked_tokens: of all requests, refused ones included.
+    :param begun_tokens: of the requests that were placed.
+    """
+
+    asked_tokens: int = 0
+    begun_tokens: int = 0
+
+    def plus(self, other: 'Usage') -> 'Usage':
+        """Return the sum of both."""
+        return Usage(
+            self.asked_tokens + other.asked_tokens,
+            self.begun_tokens + other.begun_tokens,
+        )
+
+
+_NOTHING: Final = Usage()
+
+
 @dataclass(frozen=True, slots=True)
 class _Sample:
     seconds: float
     organisation: OrganisationId
-    tokens: float
+    usage: Usage
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    received_seconds: float
+    usages: Mapping[OrganisationId, Usage]
 
 
 class ShareMeter:
-    """What each organisation asked within the last window at this router.
+    """What each organisation asked and got within the last window.
 
-    Callers choose their router at random, so a router sees about the same
-    part of the demand of every organisation, and compares within it.
+    The level is the max-min share of what the fleet has begun: whoever got
+    more than it while others are refused has had its turn.
 
     :param window_seconds: length of the window.
     """
@@ -49,38 +82,81 @@
         """Start with nothing asked."""
         self._window_seconds = window_seconds
         self._samples: deque[_Sample] = deque()
-        self._asked: dict[OrganisationId, float] = {}
+        self._own: dict[OrganisationId, Usage] = {}
+        self._reports: dict[RouterId, _Report] = {}
+
+    @property
+    def own(self) -> Mapping[OrganisationId, Usage]:
+        """Return the usage at this router."""
+        return self._own
 
     def on_asked(
-        self, organisation: OrganisationId, tokens: float, now_seconds: float
+        self, organisation: OrganisationId, tokens: int, now_seconds: float
     ) -> None:
-        """Count a request, whether it is admitted or not."""
-        self._trim(now_seconds)
-        self._samples.append(_Sample(now_seconds, organisation, tokens))
-        asked = self._asked.get(organisation, 0)
-        self._asked[organisation] = asked + tokens
+        """Count a request when it arrives for the first time."""
+        self._add(organisation, Usage(asked_tokens=tokens), now_seconds)
+
+    def on_begun(
+        self, organisation: OrganisationId, tokens: int, now_seconds: float
+    ) -> None:
+        """Count a request when it is placed."""
+        self._add(organisation, Usage(begun_tokens=tokens), now_seconds)
 
-    def is_within_share(
+    def on_report(
         self,
-        organisation: OrganisationId,
-        capacity_tokens_per_second: float,
+        router: RouterId,
+        usages: Mapping[OrganisationId, Usage],
         now_seconds: float,
-    ) -> bool:
-        """Return whether the organisation asked no more than its share.
+    ) -> None:
+        """Replace what a peer reported before."""
+        self._reports[router] = _Report(now_seconds, usages)
+
+    def used_share(
+        self, organisation: OrganisationId, now_seconds: float
+    ) -> float:
+        """Return what the organisation got, relative to its max-min share.
 
-        :param capacity_tokens_per_second: of this router's part of the load.
+        :returns: 0 when everybody gets what they ask.
         """
         self._trim(now_seconds)
-        capacity = capacity_tokens_per_second * self._window_seconds
-        level = water_level(list(self._asked.values()), capacity)
-        return self._asked.get(organisation, 0) <= level
+        totals = self._totals(now_seconds)
+        capacity = sum(usage.begun_tokens for usage in totals.values())
+        demands = [
+            float(max(usage.asked_tokens, usage.begun_tokens))
+            for usage in totals.values()
+        ]
+        level = water_level(demands, capacity)
+        return totals.get(organisation, _NOTHING).begun_tokens / max(1, level)
+
+    def _totals(self, now_seconds: float) -> dict[OrganisationId, Usage]:
+        totals = dict(self._own)
+        oldest_seconds = now_seconds - _REPORT_LIFETIME_SECONDS
+        for report in self._reports.values():
+            if report.received_seconds < oldest_seconds:
+                continue
+            for organisation, usage in report.usages.items():
+                known = totals.get(organisation, _NOTHING)
+                totals[organisation] = known.plus(usage)
+        return totals
+
+    def _add(
+        self, organisation: OrganisationId, usage: Usage, now_seconds: float
+    ) -> None:
+        self._trim(now_seconds)
+        self._samples.append(_Sample(now_seconds, organisation, usage))
+        known = self._own.get(organisation, _NOTHING)
+        self._own[organisation] = known.plus(usage)
 
     def _trim(self, now_seconds: float) -> None:
         start_seconds = now_seconds - self._window_seconds
         while self._samples and self._samples[0].seconds < start_seconds:
             sample = self._samples.popleft()
-            asked = self._asked[sample.organisation] - sample.tokens
-            if asked > 0:
-                self._asked[sample.organisation] = asked
+            usage = self._own[sample.organisation]
+            left = Usage(
+                usage.asked_tokens - sample.usage.asked_tokens,
+                usage.begun_tokens - sample.usage.begun_tokens,
+            )
+            if left == _NOTHING:
+                self._own.pop(sample.organisation)
             else:
-                self._asked.pop(sample.organisation)
+                self._own[sample.organisation] = left
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -27,7 +27,12 @@
 )
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import WireFormat
-from dotterelhatch.ids import FailureDomain, Incarnation, RouterId
+from dotterelhatch.ids import (
+    FailureDomain,
+    Fingerprint,
+    Incarnation,
+    RouterId,
+)
 from dotterelhatch.net.http import HttpLimits, HttpServer
 from dotterelhatch.net.targets import PoolLimits, TargetClient
 
@@ -176,7 +181,10 @@
         await self._beat()
         last_seconds = leaving.limit_seconds - _LAST_MARGIN_SECONDS
         await curio.sleep(
-            min(leaving.address_ttl_seconds + _ANSWER_DELAY_SECONDS, last_seconds)
+            min(
+                leaving.address_ttl_seconds + _ANSWER_DELAY_SECONDS,
+                last_seconds,
+            )
         )
         await self._callers.stop_accepting()
         remaining = last_seconds - (self.state.clock() - started_seconds)
@@ -191,6 +199,13 @@
         if not state.peers.on_heartbeat(heartbeat, now_seconds):
             return
         state.board.on_report(heartbeat.router, heartbeat.loads, now_seconds)
+        state.shares.on_report(heartbeat.router, heartbeat.usages, now_seconds)
+        for fingerprint, age_seconds in heartbeat.refused:
+            state.refused.on_report(
+                Fingerprint(fingerprint), age_seconds, now_seconds
+            )
+        for sent in heartbeat.sent_prompts:
+            state.balancer.cache.on_sent(sent)
         for report in heartbeat.crashes:
             state.suspects.on_report(report, now_seconds)
         await self._compare_versions(heartbeat, now_seconds)
@@ -253,6 +268,9 @@
             is_ready=self.state.is_ready,
             snapshot_versions=self.shelf.versions(),
             loads=self.state.board.own,
+            usages=self.state.shares.own,
+            sent_prompts=self.state.take_sent_prompts(),
+            refused=self.state.refused.take_news(now_seconds),
             crashes=self._crashes.take_reports(),
             is_source_seen=self.state.is_source_seen(now_seconds),
             known_addresses=tuple(addresses[:_HEARTBEAT_ADDRESSES_COUNT]),
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -33,6 +33,7 @@
     """What a line is about."""
 
     PLACED = 'placed'
+    NOT_PLACED = 'not_placed'
     REFUSED = 'refused'
     ATTEMPT_FAILED = 'attempt_failed'
     RETRIED = 'retried'
@@ -56,7 +57,8 @@
 # Served requests are the bulk and the least needed; refusals and failures are
 # what people ask about.
 _BUDGETS: Final[dict[object, int]] = {
-    Decision.PLACED: 30,
+    Decision.PLACED: 300,
+    Decision.NOT_PLACED: 600,
     Decision.SERVED: 30,
     Decision.REFUSED: 120,
     Decision.FAILED: 120,
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -17,10 +17,13 @@
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.messages import CrashReport
 from dotterelhatch.core.peers import Heartbeat
+from dotterelhatch.core.prompts import PromptPart, SentPrompt
+from dotterelhatch.core.shares import Usage
 from dotterelhatch.ids import (
     FailureDomain,
     Fingerprint,
     Incarnation,
+    OrganisationId,
     RouterId,
     TargetId,
 )
@@ -61,6 +64,19 @@
         ],
         heartbeat.known_addresses,
         heartbeat.is_source_seen,
+        {
+            organisation: [usage.asked_tokens, usage.begun_tokens]
+            for organisation, usage in heartbeat.usages.items()
+        },
+        [
+            [
+                sent.target,
+                sent.spare_tokens,
+                [[part.id, part.tokens_count] for part in sent.parts],
+            ]
+            for sent in heartbeat.sent_prompts
+        ],
+        heartbeat.refused,
     ]
     return json.dumps(document, separators=(',', ':')).encode()
 
@@ -101,6 +117,24 @@
         ),
         known_addresses=tuple(str(address) for address in document[11]),
         is_source_seen=bool(document[12]),
+        usages={
+            OrganisationId(organisation): Usage(
+                *(int(tokens) for tokens in usage)
+            )
+            for organisation, usage in document[13].items()
+        },
+        sent_prompts=tuple(_decode_sent(row) for row in document[14]),
+        refused=tuple((str(name), float(age)) for name, age in document[15]),
+    )
+
+
+def _decode_sent(row: list[Any]) -> SentPrompt:
+    return SentPrompt(
+        target=TargetId(str(row[0])),
+        parts=tuple(
+            PromptPart(str(part), int(tokens)) for part, tokens in row[2]
+        ),
+        spare_tokens=int(row[1]),
     )
 
 
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -7,7 +7,9 @@
 import curio
 import mmh3
 
+from dotterelhatch.core.admission import Claim
 from dotterelhatch.core.balancer import Demand, Placement, Refusal
+from dotterelhatch.core.prompts import SentPrompt
 from dotterelhatch.core.retries import SuspectVerdict
 from dotterelhatch.core.routes import RouteRule, ServiceSpec, pick_service
 from dotterelhatch.core.targethealth import AttemptOutcome
@@ -266,7 +268,8 @@
         state = self._state
         state.allowance.on_request(work.service.id, state.clock())
         relay = Relay(self.exchange, work.route, work.facts.last_event_id)
-        is_within = self._is_within_share(work)
+        claim = self._claim(work)
+        table = state.table
         following = _Next.AGAIN
         while following is _Next.AGAIN:
             demand = Demand(
@@ -274,26 +277,32 @@
                 service=work.service,
                 prompt=work.facts.prompt,
                 remaining_seconds=work.limit_seconds - self._elapsed_seconds(),
-                is_within_share=is_within,
+                shortest_objective_seconds=(
+                    table.shortest_objective_seconds(work.service.id)
+                    if table
+                    else work.route.objective_seconds
+                ),
+                claim=claim,
             )
             placement = self._place(demand, work)
             following = await self._attempt(placement, work, relay)
 
-    def _is_within_share(self, work: '_Work') -> bool:
+    def _claim(self, work: '_Work') -> Claim:
+        """Return what speaks for the request, and count it."""
         state = self._state
-        prompt = work.facts.prompt
-        if prompt is None or work.organisation is None or state.table is None:
-            return True
-        tokens = prompt.input_tokens
-        tokens += _OUTPUT_TOKEN_WEIGHT * prompt.max_output_tokens
+        age_seconds = state.refused.age_seconds(work.fingerprint, state.clock())
+        if work.organisation is None or not work.tokens:
+            return Claim(age_seconds)
         now_seconds = state.clock()
-        state.shares.on_asked(work.organisation, tokens, now_seconds)
-        capacity = state.table.limits.tokens_per_second
-        if capacity is None:
-            return True
-        routers_count = len(state.peers.live(now_seconds)) + 1
-        return state.shares.is_within_share(
-            work.organisation, capacity / routers_count, now_seconds
+        window = state.admission(work.service.id)
+        if not age_seconds:
+            state.shares.on_asked(work.organisation, work.tokens, now_seconds)
+        used_share = state.shares.used_share(work.organisation, now_seconds)
+        return Claim(
+            age_seconds=age_seconds,
+            used_share=used_share,
+            pressure=window.pressure(now_seconds),
+            kind_share=window.kind_share(work.route.name, now_seconds),
         )
 
     def _place(self, demand: Demand, work: '_Work') -> Placement:
@@ -306,19 +315,29 @@
                 'targets crashed while they ran this request',
             )
         chosen = state.balancer.place(demand, self._progress.tried, now_seconds)
+        if not demand.claim.age_seconds and not self._progress.sends_count:
+            state.admission(work.service.id).add(
+                work.route.name,
+                now_seconds,
+                admitted=not isinstance(chosen, Refusal),
+            )
         if isinstance(chosen, Refusal):
+            log_decision(
+                Decision.NOT_PLACED,
+                request_id=work.facts.request_id,
+                **_claim_facts(demand, work),
+            )
+            state.refused.on_refused(work.fingerprint, self._received_seconds)
             raise self._refuse(chosen)
         log_decision(
             Decision.PLACED,
             request_id=work.facts.request_id,
             target=chosen.entry.id,
-            service=work.service.id,
-            organisation=work.organisation,
             wait_ms=round(chosen.wait_seconds * 1000),
             expected_ms=round(chosen.expected_seconds * 1000),
             unread_tokens=chosen.load.unread_tokens,
             kept_tokens=chosen.kept_tokens,
-            is_within_share=demand.is_within_share,
+            **_claim_facts(demand, work),
             attempt=self._progress.sends_count + 1,
             table_version=state.table.version if state.table else None,
         )
@@ -351,8 +370,14 @@
         flight = state.board.start(target, placement.load, started_seconds)
         state.health.on_sent(target, started_seconds)
         if work.facts.prompt and work.service.engine:
-            state.balancer.cache.on_sent(
-                target, work.facts.prompt, work.service.engine.memory_tokens
+            state.note_prompt(
+                SentPrompt(
+                    target, work.facts.prompt.parts, placement.spare_tokens
+                )
+            )
+        if work.organisation is not None and work.tokens:
+            state.shares.on_begun(
+                work.organisation, work.tokens, started_seconds
             )
         attempt = _Attempt(placement, started_seconds)
         self._progress.tried.add(target)
@@ -592,12 +617,34 @@
         self.body = body
         deadline = facts.deadline_seconds or _DEFAULT_DEADLINE_SECONDS
         self.limit_seconds = min(deadline, route.timeout_seconds)
+        # What organisations are compared by: tokens generated take about twice
+        # the time of tokens read.
+        self.tokens = 0
+        if facts.prompt is not None:
+            self.tokens = facts.prompt.input_tokens
+            self.tokens += _OUTPUT_TOKEN_WEIGHT * facts.prompt.max_output_tokens
         # Equal for the same request sent again under another id.
         key = f'{facts.api_key}\0{facts.host}{facts.path}\0'
         digest = mmh3.hash_bytes(key.encode('latin-1', 'replace') + body)
         self.fingerprint = Fingerprint(digest.hex())
 
 
+def _claim_facts(demand: Demand, work: _Work) -> dict[str, Any]:
+    """Return what the admission of a request was decided by."""
+    claim = demand.claim
+    return {
+        'service': work.service.id,
+        'organisation': work.organisation,
+        'tokens': work.tokens,
+        'used_share': round(claim.used_share, 2),
+        'age_ms': round(claim.age_seconds * 1000),
+        'deadline_ms': round((work.facts.deadline_seconds or 0) * 1000),
+        'route': work.route.name,
+        'pressure': round(claim.pressure, 2),
+        'kind_share': round(claim.kind_share, 2),
+    }
+
+
 async def _watch_hangup(exchange: ServerExchange, task: Any) -> None:
     await exchange.wait_hangup()
     await task.cancel(blocking=False)
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from dotterelhatch.core.admission import AdmissionWindow
+from dotterelhatch.core.ages import RefusedRequests
 from dotterelhatch.core.allowance import AllowanceSettings, RepeatAllowance
 from dotterelhatch.core.balancer import Balancer, BalancerSettings
 from dotterelhatch.core.load import LoadBoard
 from dotterelhatch.core.peers import PeerBoard
+from dotterelhatch.core.prompts import SentPrompt
 from dotterelhatch.core.registry import (
     TargetEntry,
     TargetRegistry,
@@ -22,6 +25,7 @@
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
+from dotterelhatch.ids import ServiceId
 
 __all__ = ('GatewayState',)
 
@@ -58,6 +62,9 @@
         self.board = LoadBoard()
         self.health = TargetHealth()
         self.suspects = CrashSuspects()
+        self.refused = RefusedRequests()
+        self.admissions: dict[ServiceId, AdmissionWindow] = {}
+        self.sent_prompts: list[SentPrompt] = []
         self.shares = ShareMeter(settings.share_window_seconds)
         self.peers = PeerBoard(settings.router_id, settings.heartbeat_address)
         self.balancer = Balancer(
@@ -98,6 +105,21 @@
         self.allowance.settings = _allowance_settings(settings)
         self.peers.add_addresses(settings.seed_addresses, self.clock())
 
+    def admission(self, service: ServiceId) -> AdmissionWindow:
+        """Return the window of a service."""
+        return self.admissions.setdefault(service, AdmissionWindow())
+
+    def note_prompt(self, sent: SentPrompt) -> None:
+        """Note a prompt that is sent, here and with the next heartbeat."""
+        self.balancer.cache.on_sent(sent)
+        self.sent_prompts.append(sent)
+
+    def take_sent_prompts(self) -> tuple[SentPrompt, ...]:
+        """Return what was sent since the last heartbeat."""
+        sent = tuple(self.sent_prompts)
+        self.sent_prompts.clear()
+        return sent
+
     def routers_count(self) -> int:
         """Return how many routers share the bounds of the fleet."""
         return self.peers.most_seen_count
--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -60,7 +60,7 @@
     for row in rows:
         try:
             entries.append(_target(row))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (LookupError, TypeError, ValueError) as error:
             _LOGGER.warning(
                 'ignored an entry that names no target',
                 extra={'key': row.key, 'reason': repr(error)},
@@ -142,7 +142,7 @@
 
 
 def _target(row: RowChange) -> TargetEntry:
-    entry = json.loads(row.content or b'')
+    entry = dict(json.loads(row.content or b''))
     address = _text(entry['address'])
     ip, _, port = address.rpartition(':')
     ipaddress.IPv4Address(ip)
--- a/src/dotterelhatch/platform/store.py
+++ b/src/dotterelhatch/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store of rows."""
 
 import base64
-import binascii
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -198,23 +197,18 @@
 
 def _decode_page(response: Response) -> RowsPage:
     try:
-        document = json.loads(response.body)
+        document = dict(json.loads(response.body))
         return RowsPage(
             rows=tuple(_decode_row(row) for row in document.get('rows', ())),
             version=int(document['ver']),
             has_more=bool(document.get('has-more', False)),
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        binascii.Error,
-    ) as error:
+    except (LookupError, TypeError, ValueError) as error:
         raise StoreError(f'the answer is malformed: {error!r}') from error
 
 
-def _decode_row(row: dict[str, Any]) -> RowChange:
+def _decode_row(answered: Any) -> RowChange:
+    row = dict(answered)
     is_deleted = bool(row.get('deleted', False))
     content = None
     if not is_deleted:
