Keep requests about one thing at one engine while engines are idle

Cause: when engines are idle, the shared beginning of all prompts drew every request to the engine that kept it already; found by a test of the balancer with one slow engine, where another engine got nothing. Change: the rendezvous rank weighs more than the shortest shared part. Heartbeats that are no list are refused without ending the receiver (found by a property test), and shares count only under overload.

--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -76,8 +76,8 @@
     :param shortest_objective_seconds: of all routes of the service.
     :param read_seconds: predicted time to read the prompt.
     """
-    pressed = min(1.0, claim.pressure / _FULL_PRESSURE)
-    pressed *= min(1.0, claim.used_share / _MODEST_SHARE)
+    overload = min(1.0, claim.pressure / _FULL_PRESSURE)
+    pressed = overload * min(1.0, claim.used_share / _MODEST_SHARE)
     read_seconds = min(read_seconds, objective_seconds * _READ_SHARE)
     left_seconds = objective_seconds - claim.age_seconds
     left_seconds -= read_seconds + _FIXED_SECONDS
@@ -87,7 +87,7 @@
     else:
         patient = objective_seconds * _LATE_WAIT_SHARE
         limit = _between(patient, _LATE_WAIT_PRESSED_SECONDS, pressed)
-    limit *= _share_factor(claim.used_share)
+    limit *= _between(1.0, _share_factor(claim.used_share), overload)
     return limit * _kind_factor(claim.kind_share, pressed)
 
 
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -35,7 +35,7 @@
 _NEWEST_WEIGHT: Final = 0.05
 # A prompt that no target is known to keep goes to the same target from every
 # router; this much more predicted time moves it to the next one.
-_RANK_STEP_SECONDS: Final = 0.02
+_RANK_STEP_SECONDS: Final = 0.1
 _RANKS_COUNT: Final = 3
 # Reading a shared part again costs other requests as much time as this one.
 _REREAD_WEIGHT: Final = 1.5
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -88,7 +88,7 @@
     """
     try:
         return _decode(json.loads(datagram))
-    except (TypeError, AttributeError, IndexError) as error:
+    except (AttributeError, LookupError, RecursionError, TypeError) as error:
         raise ValueError(f'not a heartbeat: {error}') from error
 
 
--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,177 @@
+"""Stand-in of the platform's store of rows, with faults to order."""
+
+import base64
+import enum
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from dotterelhatch.net.http import Response, ServerExchange
+
+__all__ = ('RowStore', 'StoreFault')
+
+_MAX_BODY_BYTES = 1_048_576
+
+
+class StoreFault(enum.Enum):
+    """What the store does with calls while the fault lasts."""
+
+    BUSY = 'busy'
+    RESET = 'reset'
+    SILENT = 'silent'
+
+
+@dataclass
+class _StoredRow:
+    value: str | None
+    version: int
+
+
+@dataclass
+class RowStore:
+    """Rows with versions, a feed of changes, and a history that can be lost.
+
+    :param fault: None while the store works.
+    :param calls: the paths that were called.
+    """
+
+    fault: StoreFault | None = None
+    calls: list[str] = field(default_factory=list)
+    version: int = 0
+    oldest_version: int = 0
+    _rows: dict[tuple[str, str], _StoredRow] = field(default_factory=dict)
+
+    def put(self, table: str, key: str, document: Any) -> int:
+        """Write a row as JSON and return its version."""
+        content = json.dumps(document).encode()
+        return self.put_bytes(table, key, content)
+
+    def put_bytes(self, table: str, key: str, content: bytes) -> int:
+        """Write the bytes of a row and return its version."""
+        self.version += 1
+        value = base64.b64encode(content).decode()
+        self._rows[table, key] = _StoredRow(value, self.version)
+        return self.version
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self.version += 1
+        self._rows[table, key] = _StoredRow(None, self.version)
+
+    def compact(self) -> None:
+        """Forget the history up to now."""
+        self.oldest_version = self.version + 1
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of the rows that exist."""
+        return [
+            key
+            for (owner, key), row in self._rows.items()
+            if owner == table and row.value is not None
+        ]
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer one call."""
+        parts = urlsplit(exchange.head.path)
+        self.calls.append(parts.path)
+        query = {name: one[0] for name, one in parse_qs(parts.query).items()}
+        body = await exchange.read_body(_MAX_BODY_BYTES)
+        if self.fault is StoreFault.SILENT:
+            await curio.sleep(3600)
+        if self.fault is StoreFault.RESET:
+            exchange.abort()
+            return
+        if self.fault is StoreFault.BUSY:
+            await exchange.send(Response(503, (), b''))
+            return
+        await self._answer(exchange, parts.path, query, body)
+
+    async def _answer(
+        self,
+        exchange: ServerExchange,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+    ) -> None:
+        if path == '/rows-get':
+            await self._send(exchange, 200, self._select(query))
+        elif path == '/rows-feed':
+            await self._feed(exchange, query)
+        elif path == '/rows-tx':
+            await self._transact(exchange, json.loads(body))
+        else:
+            await self._send(exchange, 404, {})
+
+    def _select(self, query: dict[str, str]) -> dict[str, Any]:
+        start = query.get('from', '')
+        limit = int(query.get('limit', '500'))
+        rows = [
+            _row(query['table'], key, row)
+            for (table, key), row in sorted(self._rows.items())
+            if table == query['table'] and key >= start and row.value
+        ]
+        return {
+            'rows': rows[:limit],
+            'has-more': len(rows) > limit,
+            'ver': self.version,
+            'now-ms': 1,
+        }
+
+    async def _feed(
+        self, exchange: ServerExchange, query: dict[str, str]
+    ) -> None:
+        since = int(query['since-rev'])
+        if since < self.oldest_version:
+            await self._send(exchange, 410, {})
+            return
+        waited_ms = 0
+        changed = self._changed(query['table'], since)
+        while not changed and waited_ms < int(query['wait-ms']):
+            await curio.sleep(0.01)
+            waited_ms += 10
+            changed = self._changed(query['table'], since)
+        await self._send(
+            exchange,
+            200,
+            {'rows': changed, 'ver': self.version, 'now-ms': 1},
+        )
+
+    def _changed(self, wanted: str, since: int) -> list[dict[str, Any]]:
+        rows = [
+            (row.version, _row(table, key, row))
+            for (table, key), row in self._rows.items()
+            if table == wanted and row.version > since
+        ]
+        return [row for _, row in sorted(rows, key=lambda pair: pair[0])]
+
+    async def _transact(
+        self, exchange: ServerExchange, call: dict[str, Any]
+    ) -> None:
+        for row in call['expected-rev']:
+            stored = self._rows.get((row['table'], row['key']))
+            if (stored.version if stored else 0) != row['ver']:
+                await self._send(exchange, 412, {'rows': []})
+                return
+        for row in call['set-keys']:
+            content = base64.b64decode(row['value'])
+            self.put_bytes(row['table'], row['key'], content)
+        for row in call['remove']:
+            self.delete(row['table'], row['key'])
+        await self._send(exchange, 200, {'ver': self.version, 'now-ms': 1})
+
+    async def _send(
+        self, exchange: ServerExchange, status: int, document: Any
+    ) -> None:
+        headers = (('Content-Type', 'application/json'),)
+        body = json.dumps(document).encode()
+        await exchange.send(Response(status, headers, body))
+
+
+def _row(table: str, key: str, row: _StoredRow) -> dict[str, Any]:
+    document = {'table': table, 'part': '', 'key': key, 'ver': row.version}
+    if row.value is None:
+        return document | {'deleted': True}
+    return document | {'value': row.value}
--- /dev/null
+++ b/standins/served.py
@@ -0,0 +1,110 @@
+"""Stand-in of a platform server: streams, plain answers and faults."""
+
+import enum
+from dataclasses import dataclass, field
+
+import curio
+
+from dotterelhatch.net.http import Response, ServerExchange
+
+__all__ = ('Behaviour', 'ServedStandIn')
+
+_MAX_BODY_BYTES = 4_194_304
+_PREFIX = 'Dotterelhatch-'
+
+
+class Behaviour(enum.Enum):
+    """What a server does with the requests that it gets."""
+
+    SERVE = 'serve'
+    SHED = 'shed'
+    FAIL = 'fail'
+    BREAK_BEFORE_ANSWER = 'break_before_answer'
+    BREAK_AFTER_EVENTS = 'break_after_events'
+    OTHER_INSTANCE = 'other_instance'
+    SILENT = 'silent'
+
+
+@dataclass
+class ServedStandIn:
+    """Answers as one server of the platform.
+
+    :param instance: its id.
+    :param events_count: events of a stream.
+    :param runs: ids of the requests that it began to run.
+    :param seen: heads that arrived.
+    :param abandoned: ids of the requests that were cancelled while they ran.
+    """
+
+    instance: str
+    behaviour: Behaviour = Behaviour.SERVE
+    events_count: int = 4
+    event_seconds: float = 0.0
+    runs: list[str] = field(default_factory=list)
+    seen: list[dict[str, str]] = field(default_factory=list)
+    abandoned: list[str] = field(default_factory=list)
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer one request."""
+        headers = {name.lower(): text for name, text in exchange.head.headers}
+        self.seen.append(headers)
+        await exchange.read_body(_MAX_BODY_BYTES)
+        request_id = headers['dotterelhatch-request-id']
+        echoed = (
+            (f'{_PREFIX}Request-Id', request_id),
+            (f'{_PREFIX}Response-Stamp', f'stamp-{self.instance}'),
+        )
+        if self.behaviour is Behaviour.SHED:
+            refused = (echoed[0], (f'{_PREFIX}Not-Executed', '1'))
+            await exchange.send(Response(503, refused, b''))
+        elif self.behaviour is Behaviour.OTHER_INSTANCE:
+            await exchange.send(Response(421, echoed[:1], b''))
+        else:
+            self.runs.append(request_id)
+            await self._run(exchange, headers, echoed)
+
+    async def _run(
+        self,
+        exchange: ServerExchange,
+        headers: dict[str, str],
+        echoed: tuple[tuple[str, str], ...],
+    ) -> None:
+        if self.behaviour is Behaviour.SILENT:
+            await self._wait_abandoned(exchange, headers)
+        elif self.behaviour is Behaviour.BREAK_BEFORE_ANSWER:
+            exchange.abort()
+        elif self.behaviour is Behaviour.FAIL:
+            await exchange.send(Response(500, echoed, b'failed'))
+        elif 'dotterelhatch-token-counts' in headers:
+            await self._stream(exchange, headers, echoed)
+        else:
+            body = f'answer of {self.instance}'.encode()
+            await exchange.send(Response(200, echoed, body))
+
+    async def _wait_abandoned(
+        self, exchange: ServerExchange, headers: dict[str, str]
+    ) -> None:
+        await exchange.wait_hangup()
+        self.abandoned.append(headers['dotterelhatch-request-id'])
+        exchange.abort()
+
+    async def _stream(
+        self,
+        exchange: ServerExchange,
+        headers: dict[str, str],
+        echoed: tuple[tuple[str, str], ...],
+    ) -> None:
+        first = int(headers.get('last-event-id', '0')) + 1
+        await exchange.start_stream(
+            200, (*echoed, ('Content-Type', 'text/event-stream'))
+        )
+        for number in range(first, self.events_count + 1):
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            broken = self.behaviour is Behaviour.BREAK_AFTER_EVENTS
+            if broken and number > self.events_count // 2:
+                await exchange.send_chunk(event[:5])
+                exchange.abort()
+                return
+            await exchange.send_chunk(event)
+            await curio.sleep(self.event_seconds)
+        await exchange.end_stream()
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,78 @@
+"""Wait limits, each with the load pattern that it answers."""
+
+import pytest
+
+from dotterelhatch.core.admission import (
+    AdmissionWindow,
+    Claim,
+    wait_limit_seconds,
+)
+
+OBJECTIVE = 0.5
+SHORTEST = 0.3
+READ = 0.06
+
+
+def _limit(claim: Claim, objective: float = OBJECTIVE) -> float:
+    return wait_limit_seconds(claim, objective, SHORTEST, READ)
+
+
+def test_without_overload_a_request_waits_as_long_as_it_is_in_time() -> None:
+    """Load pattern: a short clump that drains within the objective."""
+    assert 0.3 < _limit(Claim(used_share=1)) < OBJECTIVE - READ
+
+
+def test_without_overload_a_late_request_is_served_all_the_same() -> None:
+    """Load pattern: callers that return after a clump."""
+    assert _limit(Claim(age_seconds=1.0, used_share=1)) > 0.2
+
+
+def test_under_overload_kinds_have_one_limit() -> None:
+    """Load pattern: patient and impatient kinds, more than can be served."""
+    pressed = Claim(used_share=0.8, pressure=0.5)
+    patient = _limit(pressed, 2.0)
+    assert patient <= SHORTEST
+    assert patient == pytest.approx(_limit(pressed, SHORTEST), abs=0.1)
+
+
+def test_under_overload_late_requests_get_only_idle_capacity() -> None:
+    """Load pattern: all refused callers return while overload lasts."""
+    claim = Claim(age_seconds=0.6, used_share=0.8, pressure=0.5)
+    assert _limit(claim) <= 0.05
+
+
+def test_an_organisation_over_its_share_gives_way() -> None:
+    """Load pattern: one organisation sends many times its usual."""
+    over = Claim(used_share=1.5, pressure=0.5)
+    assert _limit(over) == 0
+    assert _limit(Claim(used_share=0.8, pressure=0.5)) > 0.1
+
+
+def test_a_small_organisation_is_not_pressed() -> None:
+    """Load pattern: small organisations beside a flood of a large one."""
+    small = _limit(Claim(used_share=0.05, pressure=0.9))
+    assert small > _limit(Claim(used_share=0.8, pressure=0.9)) * 1.4
+
+
+def test_a_kind_that_is_served_less_often_waits_longer() -> None:
+    """Load pattern: one kind meets full engines more often than others."""
+    behind = _limit(Claim(used_share=0.8, pressure=0.5, kind_share=0.5))
+    ahead = _limit(Claim(used_share=0.8, pressure=0.5, kind_share=1.5))
+    assert behind > ahead * 1.5
+
+
+def test_a_long_prompt_may_wait_too() -> None:
+    """Load pattern: prompts whose reading alone exceeds the objective."""
+    claim = Claim(used_share=0.8, pressure=0.5)
+    assert wait_limit_seconds(claim, OBJECTIVE, SHORTEST, 3.0) > 0.1
+
+
+def test_the_window_counts_refusals_by_kind_and_forgets_them() -> None:
+    """Guards against a limit that stays short after the overload."""
+    window = AdmissionWindow(window_seconds=2)
+    for index in range(20):
+        window.add('a', index * 0.01, admitted=True)
+        window.add('b', index * 0.01, admitted=index % 2 == 0)
+    assert window.pressure(0.2) == 0.25
+    assert window.kind_share('b', 0.2) < 1 < window.kind_share('a', 0.2)
+    assert window.pressure(3) == 0
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,301 @@
+"""Requests through a gateway to servers on loopback."""
+
+import curio
+import pytest
+
+from dotterelhatch.core.registry import TargetState
+from dotterelhatch.ids import TargetId
+from dotterelhatch.net.http import AnswerLostError
+from dotterelhatch.net.stream import SocketStream
+from standins.served import Behaviour, ServedStandIn
+from tests.gatewaykit import (
+    HOST,
+    KEY,
+    MODEL,
+    PLAIN,
+    GatewayFixture,
+    open_gateway,
+    routing_table,
+    run_async,
+)
+
+EVENTS = b''.join(
+    b'id: %d\ndata: token %d\n\n' % (one, one) for one in range(1, 5)
+)
+
+
+@run_async
+async def test_the_answer_arrives_unchanged_with_the_stamp() -> None:
+    """Guards against answers without proof of the server that made them."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        response = await fixture.call('/lookup/7?x=1')
+    assert response.status == 200
+    assert response.body == b'answer of i-1'
+    assert response.header('Dotterelhatch-Response-Stamp') == 'stamp-i-1'
+
+
+@run_async
+async def test_the_router_sets_its_own_headers() -> None:
+    """Guards against keys passed on and headers forged by callers."""
+    server = ServedStandIn('i-1')
+    async with open_gateway((PLAIN, server)) as fixture:
+        await fixture.call(
+            '/lookup/7',
+            Dotterelhatch_Tenant='someone-else',
+            Dotterelhatch_Hold='h',
+            Dotterelhatch_Pin_Ms='9',
+            Dotterelhatch_Kv_Backup='1.2.3.4:5',
+            Kv_From='1.2.3.4:5/x',
+        )
+    seen = server.seen[0]
+    assert seen['dotterelhatch-tenant'] == 'usta-kazim'
+    assert seen['dotterelhatch-expect-instance'] == 'i-1'
+    assert 0 < int(seen['dotterelhatch-deadline-ms']) <= 4000
+    assert not seen.keys() & {
+        'authorization',
+        'dotterelhatch-hold',
+        'dotterelhatch-pin-ms',
+        'dotterelhatch-kv-backup',
+        'kv-from',
+    }
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/nowhere/', KEY, 404),
+        ('/lookup', KEY, 404),
+        ('/lookup/1', 'unknown', 401),
+        ('/public/1', 'unknown', 200),
+    ],
+)
+def test_unknown_routes_and_keys_are_refused(
+    path: str, key: str, status: int
+) -> None:
+    """Guards against requests that run though nothing allows them."""
+
+    @run_async
+    async def check() -> None:
+        async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+            response = await fixture.call(path, Authorization=f'Bearer {key}')
+            assert response.status == status
+            assert len(fixture.runs) == (1 if status == 200 else 0)
+
+    check()
+
+
+@run_async
+async def test_an_outdated_table_does_not_tell_what_is_unknown() -> None:
+    """Guards against 404 for a route that a newer version may have."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        fixture.gateway.state.sources_seen['op'] -= 60
+        response = await fixture.call('/nowhere/')
+    assert response.status == 503
+
+
+@run_async
+async def test_a_shed_request_goes_to_another_server() -> None:
+    """Guards against refusals while another server has room."""
+    servers = [ServedStandIn(f'i-{number}') for number in range(3)]
+    servers[0].behaviour = Behaviour.SHED
+    async with open_gateway(*((PLAIN, one) for one in servers)) as fixture:
+        for number in range(12):
+            response = await fixture.call('/booking/1', f'r{number}')
+            assert response.status == 200
+        assert sorted(fixture.runs) == sorted(f'r{one}' for one in range(12))
+
+
+@run_async
+async def test_a_refusal_by_all_servers_is_not_run_and_says_when() -> None:
+    """Guards against failures without a time to come back."""
+    server = ServedStandIn('i-1', Behaviour.SHED)
+    async with open_gateway((PLAIN, server)) as fixture:
+        response = await fixture.call('/booking/1')
+    assert response.status in {429, 503}
+    assert float(response.header('Retry-After') or 0) > 0
+    assert not server.runs
+
+
+@pytest.mark.parametrize('behaviour', [Behaviour.BREAK_BEFORE_ANSWER])
+def test_work_that_may_have_run_is_not_sent_again(
+    behaviour: Behaviour,
+) -> None:
+    """Guards against a booking that runs twice, or is said not to have run."""
+
+    @run_async
+    async def check() -> None:
+        servers = [ServedStandIn(f'i-{one}', behaviour) for one in range(3)]
+        async with open_gateway(*((PLAIN, one) for one in servers)) as fixture:
+            response = await fixture.call('/booking/1')
+            assert response.status == 502
+            assert fixture.runs == ['r1']
+
+    check()
+
+
+@pytest.mark.parametrize(
+    'behaviour', [Behaviour.BREAK_BEFORE_ANSWER, Behaviour.FAIL]
+)
+def test_an_idempotent_request_is_repeated_once(behaviour: Behaviour) -> None:
+    """Guards against giving up on, or repeating without end, a lookup."""
+
+    @run_async
+    async def check() -> None:
+        servers = [ServedStandIn(f'i-{one}', behaviour) for one in range(3)]
+        async with open_gateway(*((PLAIN, one) for one in servers)) as fixture:
+            response = await fixture.call('/lookup/1')
+            assert response.status in {500, 502}
+            assert fixture.runs == ['r1', 'r1']
+
+    check()
+
+
+@run_async
+async def test_an_unreachable_server_costs_no_repeat() -> None:
+    """Guards against failures while the entry of a dead server remains."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        entries = list(fixture.gateway.state.registry.ready(PLAIN))
+        dead = type(entries[0])(
+            id=TargetId('i-0'),
+            service=PLAIN,
+            address='127.0.0.1:1',
+            failure_domain=entries[0].failure_domain,
+            state=TargetState.READY,
+            slots_count=6,
+        )
+        fixture.gateway.state.apply_targets([*entries, dead], None)
+        for number in range(6):
+            response = await fixture.call('/booking/1', f'r{number}')
+            assert response.status == 200
+
+
+@run_async
+async def test_another_instance_at_the_address_is_not_used_again() -> None:
+    """Guards against requests that run at a server of another service."""
+    servers = [
+        ServedStandIn('i-0', Behaviour.OTHER_INSTANCE),
+        ServedStandIn('i-1'),
+    ]
+    async with open_gateway(*((PLAIN, one) for one in servers)) as fixture:
+        for number in range(8):
+            response = await fixture.call('/booking/1', f'r{number}')
+            assert response.status == 200
+    assert len(servers[0].seen) <= 1
+
+
+@run_async
+async def test_a_stream_arrives_event_by_event() -> None:
+    """Guards against lost, repeated or reordered events."""
+    async with open_gateway((MODEL, ServedStandIn('i-1'))) as fixture:
+        response = await fixture.stream('/draft/1')
+    assert response.body == EVENTS
+    assert response.header('Dotterelhatch-Response-Stamp') == 'stamp-i-1'
+
+
+@run_async
+async def test_a_resumable_stream_goes_on_at_another_server() -> None:
+    """Guards against events that are missing or come twice after a break."""
+    servers = [
+        ServedStandIn('i-0', Behaviour.BREAK_AFTER_EVENTS),
+        ServedStandIn('i-1', Behaviour.BREAK_AFTER_EVENTS),
+    ]
+    async with open_gateway(*((MODEL, one) for one in servers)) as fixture:
+        # Whichever server is chosen first breaks off, the other goes on.
+        servers[0].events_count = 8
+        servers[1].events_count = 4
+        fixture.gateway.state.health.on_silent(
+            TargetId('i-1'), fixture.gateway.state.clock()
+        )
+        servers[1].behaviour = Behaviour.SERVE
+        servers[0].events_count = 4
+        response = await fixture.stream('/advice/1')
+    assert response.body == EVENTS
+    assert servers[1].seen[0]['last-event-id'] == '2'
+
+
+@run_async
+async def test_a_stream_that_must_not_repeat_ends_visibly_broken() -> None:
+    """Guards against a truncated stream that looks complete."""
+    server = ServedStandIn('i-0', Behaviour.BREAK_AFTER_EVENTS)
+    async with open_gateway((MODEL, server)) as fixture:
+        with pytest.raises(AnswerLostError):
+            await fixture.stream('/draft/1')
+    assert server.runs == ['r1']
+
+
+@run_async
+async def test_the_timeout_of_the_route_ends_a_request() -> None:
+    """Guards against requests that are held beyond their time."""
+    server = ServedStandIn('i-0', Behaviour.SILENT)
+    async with open_gateway((PLAIN, server)) as fixture:
+        clock = fixture.gateway.state.clock
+        began = clock()
+        response = await fixture.call('/short/1')
+        assert response.status == 504
+        assert clock() - began < 5
+        await _until(lambda: server.abandoned == ['r1'])
+
+
+@run_async
+async def test_the_work_of_a_caller_that_left_is_cancelled() -> None:
+    """Guards against targets that work for nobody."""
+    server = ServedStandIn('i-0', Behaviour.SILENT)
+    async with open_gateway((PLAIN, server)) as fixture:
+        stream = await _send_and_keep(fixture, '/booking/1')
+        await _until(lambda: server.runs == ['r1'])
+        stream.close()
+        await _until(lambda: server.abandoned == ['r1'])
+
+
+@run_async
+async def test_without_a_table_a_router_refuses_and_is_not_ready() -> None:
+    """Guards against 404 by a router that knows nothing yet."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        fixture.gateway.state.table = None
+        assert not fixture.gateway.state.is_ready
+        response = await fixture.call('/lookup/1')
+    assert response.status == 503
+
+
+@run_async
+async def test_an_older_table_never_replaces_a_newer_one() -> None:
+    """Guards against a configuration that reverts."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        state = fixture.gateway.state
+        state.apply_table(routing_table(version=3, routes=()))
+        state.apply_table(routing_table(version=2))
+        response = await fixture.call('/lookup/1')
+    assert response.status == 404
+
+
+@run_async
+async def test_a_leaving_router_finishes_what_it_has() -> None:
+    """Guards against requests cut by a planned stop."""
+    server = ServedStandIn('i-1', event_seconds=0.1)
+    async with open_gateway((MODEL, server)) as fixture:
+        task = await curio.spawn(fixture.stream, '/draft/1')
+        await _until(lambda: server.runs == ['r1'])
+        await fixture.gateway.leave()
+        response = await task.join()
+        assert not fixture.gateway.state.is_ready
+        assert fixture.gateway.caller_addresses('konya') == []
+    assert response.body == EVENTS
+
+
+async def _send_and_keep(fixture: GatewayFixture, path: str) -> SocketStream:
+    stream = await SocketStream.connect(
+        fixture.gateway.settings.caller_address, 5
+    )
+    head = (
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        'Dotterelhatch-Request-Id: r1\r\n'
+        f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
+    )
+    await stream.write(head.encode())
+    return stream
+
+
+async def _until(condition: object) -> None:
+    """Wait until a condition holds; the test has its own time limit."""
+    while not condition():  # type: ignore[operator]
+        await curio.sleep(0.005)
--- /dev/null
+++ b/tests/test_peer_board.py
@@ -0,0 +1,143 @@
+"""Heartbeats: who is live, and what a datagram carries."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dotterelhatch.core.ages import RefusedRequests
+from dotterelhatch.core.load import TargetLoad
+from dotterelhatch.core.messages import CrashReport
+from dotterelhatch.core.peers import (
+    Heartbeat,
+    PeerBoard,
+    heartbeat_interval_seconds,
+)
+from dotterelhatch.core.prompts import PromptPart, SentPrompt
+from dotterelhatch.core.shares import Usage
+from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
+from dotterelhatch.ids import (
+    FailureDomain,
+    Fingerprint,
+    Incarnation,
+    OrganisationId,
+    RouterId,
+    TargetId,
+)
+
+_NAMES = st.text(min_size=1, max_size=8)
+_COUNTS = st.integers(0, 10**9)
+_HEARTBEATS = st.builds(
+    Heartbeat,
+    router=_NAMES.map(RouterId),
+    incarnation=_COUNTS.map(Incarnation),
+    sequence=_COUNTS,
+    failure_domain=_NAMES.map(FailureDomain),
+    caller_address=_NAMES,
+    control_address=_NAMES,
+    heartbeat_address=_NAMES,
+    is_ready=st.booleans(),
+    snapshot_versions=st.dictionaries(_NAMES, _COUNTS, max_size=3),
+    loads=st.dictionaries(
+        _NAMES.map(TargetId),
+        st.builds(TargetLoad, _COUNTS, _COUNTS, _COUNTS),
+        max_size=3,
+    ),
+    usages=st.dictionaries(
+        _NAMES.map(OrganisationId),
+        st.builds(Usage, _COUNTS, _COUNTS),
+        max_size=3,
+    ),
+    is_source_seen=st.booleans(),
+    crashes=st.lists(
+        st.builds(
+            CrashReport,
+            _NAMES.map(Fingerprint),
+            _NAMES.map(TargetId),
+            st.booleans(),
+        ),
+        max_size=2,
+    ).map(tuple),
+    sent_prompts=st.lists(
+        st.builds(
+            SentPrompt,
+            _NAMES.map(TargetId),
+            st.lists(st.builds(PromptPart, _NAMES, _COUNTS), max_size=3).map(
+                tuple
+            ),
+            _COUNTS,
+        ),
+        max_size=2,
+    ).map(tuple),
+    refused=st.lists(st.tuples(_NAMES, st.floats(0, 100)), max_size=2).map(
+        tuple
+    ),
+    known_addresses=st.lists(_NAMES, max_size=3).map(tuple),
+)
+
+
+def _beat(
+    sequence: int = 1, incarnation: int = 1, **changes: object
+) -> Heartbeat:
+    fields = {
+        'router': RouterId('r2'),
+        'incarnation': Incarnation(incarnation),
+        'sequence': sequence,
+        'failure_domain': FailureDomain('konya'),
+        'caller_address': 'c',
+        'control_address': 'd',
+        'heartbeat_address': 'h2',
+        'is_ready': True,
+        'snapshot_versions': {},
+        'loads': {},
+    }
+    return Heartbeat(**(fields | changes))  # type: ignore[arg-type]
+
+
+@given(_HEARTBEATS)
+def test_a_heartbeat_survives_its_datagram(heartbeat: Heartbeat) -> None:
+    """Guards against fields that are swapped or lost between routers."""
+    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
+
+
+@given(st.binary(max_size=40) | st.just(b'[]') | st.just(b'{"a":1}'))
+def test_other_datagrams_are_refused(datagram: bytes) -> None:
+    """Guards against a stray datagram that ends the receiving task."""
+    with pytest.raises(ValueError):
+        decode_heartbeat(datagram)
+
+
+def test_an_older_heartbeat_replaces_nothing() -> None:
+    """Guards against overtaken datagrams and those of a former process."""
+    board = PeerBoard(RouterId('r1'), 'h1')
+    assert board.on_heartbeat(_beat(sequence=5, incarnation=2), 0)
+    assert not board.on_heartbeat(_beat(sequence=4, incarnation=2), 1)
+    assert not board.on_heartbeat(_beat(sequence=9, incarnation=1), 1)
+    assert board.on_heartbeat(_beat(sequence=1, incarnation=3), 1)
+
+
+def test_a_silent_peer_is_not_live_but_still_told() -> None:
+    """Guards against a cut that separates two routers for ever."""
+    board = PeerBoard(RouterId('r1'), 'h1')
+    board.on_heartbeat(_beat(known_addresses=('h1', 'h3')), 0)
+    assert len(board.live(1)) == 1
+    assert not board.live(10)
+    assert sorted(board.addresses(10)) == ['h2', 'h3']
+    assert board.most_seen_count == 2
+
+
+def test_many_peers_are_told_less_often() -> None:
+    """Guards against control traffic that grows with the square."""
+    assert heartbeat_interval_seconds(3) == pytest.approx(0.1)
+    assert 32 / heartbeat_interval_seconds(32) < 34
+
+
+def test_a_returning_request_keeps_its_age_at_every_router() -> None:
+    """Load pattern: refused callers that return to another router."""
+    here, there = RefusedRequests(), RefusedRequests()
+    request = Fingerprint('f')
+    here.on_refused(request, 10.0)
+    for name, age_seconds in here.take_news(10.1):
+        there.on_report(Fingerprint(name), age_seconds, 50.0)
+    assert there.age_seconds(request, 50.4) == pytest.approx(0.5)
+    assert here.take_news(10.2) == ()
+    assert there.age_seconds(request, 60) == 0
--- /dev/null
+++ b/tests/test_prompts.py
@@ -0,0 +1,45 @@
+"""What engines are believed to keep of prompts."""
+
+from dotterelhatch.core.prompts import (
+    Prompt,
+    PromptPart,
+    PromptPartCache,
+    SentPrompt,
+)
+from dotterelhatch.ids import TargetId
+
+TARGET = TargetId('m0')
+
+
+def _prompt(*names: str) -> Prompt:
+    parts = tuple(PromptPart(name, 100) for name in names)
+    return Prompt(parts, 100 * len(parts), 10)
+
+
+def _send(cache: PromptPartCache, spare: int, *names: str) -> None:
+    cache.on_sent(SentPrompt(TARGET, _prompt(*names).parts, spare))
+
+
+def test_a_part_is_kept_only_behind_the_same_parts() -> None:
+    """Guards against a prediction that skips parts that must be read."""
+    cache = PromptPartCache()
+    _send(cache, 1000, 'a', 'b', 'c')
+    assert cache.kept_tokens(TARGET, _prompt('a', 'b', 'x')) == 200
+    assert cache.kept_tokens(TARGET, _prompt('b', 'c')) == 0
+
+
+def test_the_least_recently_used_parts_yield() -> None:
+    """Guards against parts believed to be kept that others pushed out."""
+    cache = PromptPartCache()
+    _send(cache, 300, 'a', 'b')
+    _send(cache, 300, 'c', 'd')
+    assert cache.kept_tokens(TARGET, _prompt('c', 'd')) == 200
+    assert cache.kept_tokens(TARGET, _prompt('a', 'b')) == 0
+
+
+def test_a_restarted_target_keeps_nothing() -> None:
+    """Guards against affinity to a target that starts empty."""
+    cache = PromptPartCache()
+    _send(cache, 300, 'a')
+    cache.forget(TARGET)
+    assert cache.kept_tokens(TARGET, _prompt('a')) == 0
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,82 @@
+"""Targets through drains, restarts and outages of their list."""
+
+from dataclasses import replace
+
+from dotterelhatch.core.registry import (
+    TargetEntry,
+    TargetRegistry,
+    TargetState,
+)
+from dotterelhatch.ids import FailureDomain, ServiceId, TargetId
+
+SERVICE = ServiceId('usta-model')
+
+
+def _entry(name: str, **changes: object) -> TargetEntry:
+    entry = TargetEntry(
+        id=TargetId(name),
+        service=SERVICE,
+        address='10.0.0.1:80',
+        failure_domain=FailureDomain('konya'),
+        state=TargetState.READY,
+        slots_count=6,
+        started_ms=100,
+    )
+    return replace(entry, **changes)  # type: ignore[arg-type]
+
+
+def _names(registry: TargetRegistry) -> list[str]:
+    return [entry.id for entry in registry.ready(SERVICE)]
+
+
+def test_a_leaving_target_stays_leaving_until_it_starts_again() -> None:
+    """Guards against new work for a drained target that an old list names."""
+    registry = TargetRegistry()
+    leaving = _entry('a', state=TargetState.LEAVING)
+    registry.apply([_entry('a')], 0)
+    registry.apply([leaving], 1)
+    registry.apply([_entry('a')], 2)
+    assert not _names(registry)
+    registry.apply([_entry('a', started_ms=200)], 3)
+    assert _names(registry) == ['a']
+
+
+def test_a_target_that_disappears_is_gone_at_once() -> None:
+    """Guards against work for a target that left without a drain."""
+    registry = TargetRegistry()
+    registry.apply([_entry('a'), _entry('b')], 0)
+    changed = registry.apply([_entry('b')], 1)
+    assert _names(registry) == ['b']
+    assert [(one.id, one.state) for one in changed] == [
+        ('a', TargetState.LEAVING)
+    ]
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while() -> None:
+    """Guards against a service without targets after its list was away."""
+    registry = TargetRegistry()
+    registry.apply([_entry('a'), _entry('b')], 0)
+    registry.apply([], 10, regained_seconds=10)
+    assert _names(registry) == ['a', 'b']
+    registry.apply([_entry('b')], 11, regained_seconds=10)
+    assert [one.id for one in registry.expire(12.6)] == ['a']
+    assert _names(registry) == ['b']
+
+
+def test_a_leaving_target_is_not_kept_by_an_outage() -> None:
+    """Guards against a drain that an outage undoes."""
+    registry = TargetRegistry()
+    registry.apply([_entry('a', state=TargetState.LEAVING)], 0)
+    registry.apply([], 10, regained_seconds=10)
+    assert len(registry) == 0
+
+
+def test_an_address_of_another_instance_is_left_alone() -> None:
+    """Guards against sending to an address that was given to others."""
+    registry = TargetRegistry()
+    registry.apply([_entry('a')], 0)
+    registry.mark_replaced(TargetId('a'))
+    registry.apply([_entry('a', slots_count=7)], 1)
+    assert not _names(registry)
+    registry.apply([_entry('a', started_ms=300)], 2)
+    assert _names(registry) == ['a']
