--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -86,9 +86,12 @@
 
     :raises ValueError: when the datagram is not a heartbeat.
     """
+    document = json.loads(datagram)
+    if not isinstance(document, list):
+        raise ValueError('not a heartbeat: no list')
     try:
-        return _decode(json.loads(datagram))
-    except (AttributeError, LookupError, RecursionError, TypeError) as error:
+        return _decode(document)
+    except (AttributeError, LookupError, TypeError) as error:
         raise ValueError(f'not a heartbeat: {error}') from error
 
 
@@ -193,7 +196,7 @@
     async def _consume(self, datagram: bytes) -> None:
         try:
             heartbeat = decode_heartbeat(datagram)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             _LOGGER.warning('dropped a datagram: %s', error)
             return
         await self._consumer(heartbeat)
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -3,6 +3,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -65,47 +66,47 @@
         await self._follow(self._mirrors[_SERVER_TABLE])
 
     async def _follow(self, mirror: TableMirror) -> None:
-        pause_seconds = _FIRST_PAUSE_SECONDS
-        since: int | None = None
-        is_lost = False
+        progress = _Progress(mirror)
         while True:
             try:
-                since = await self._step(mirror, since, is_lost)
+                await self._step(progress)
             except StoreError as error:
-                if not is_lost:
-                    self._note_lost(mirror, error)
-                is_lost = True
-                if isinstance(error, HistoryGone):
-                    since = None
-                await curio.sleep(pause_seconds)
-                pause_seconds = min(_PAUSE_LIMIT_SECONDS, 2 * pause_seconds)
+                self._note_failed(progress, error)
+                await curio.sleep(progress.pause_seconds)
+                progress.pause_seconds = min(
+                    _PAUSE_LIMIT_SECONDS, 2 * progress.pause_seconds
+                )
             else:
-                if is_lost:
-                    self._note_regained(mirror)
-                is_lost = False
-                pause_seconds = _FIRST_PAUSE_SECONDS
-
-    async def _step(
-        self, mirror: TableMirror, since: int | None, is_lost: bool
-    ) -> int:
-        """Read once; return the version to go on from."""
-        if since is None:
+                self._note_answered(progress)
+
+    async def _step(self, progress: '_Progress') -> None:
+        """Read the table, or its changes, once."""
+        mirror = progress.mirror
+        is_complete = progress.since is None
+        if progress.since is None:
             page = await self._store.read_table(mirror.name)
             if not mirror.replace(page):
                 raise StoreError('the answer is older than what is known')
         else:
+            wait_seconds = 0 if progress.is_lost else _WAIT_SECONDS
             page = await self._store.read_changes(
-                mirror.name, since, 0 if is_lost else _WAIT_SECONDS
+                mirror.name, progress.since, wait_seconds
             )
             mirror.apply(page)
-        if is_lost and mirror.name == _SERVER_TABLE:
+        progress.since = page.version
+        if progress.is_lost and mirror.name == _SERVER_TABLE:
             self._regained_seconds = self._gateway.state.clock()
         self._gateway.note_source(mirror.name)
-        if since is None or page.rows:
+        if is_complete or page.rows:
             await self._gateway.shelf.offer(mirror.snapshot())
-        return page.version
 
-    def _note_lost(self, mirror: TableMirror, error: StoreError) -> None:
+    def _note_failed(self, progress: '_Progress', error: StoreError) -> None:
+        if isinstance(error, HistoryGone):
+            progress.since = None
+        if progress.is_lost:
+            return
+        progress.is_lost = True
+        mirror = progress.mirror
         self._gateway.state.metrics.source_up.labels(mirror.name).set(0)
         log_decision(
             Decision.DEPENDENCY_LOST,
@@ -115,8 +116,13 @@
             reason=str(error),
         )
 
-    def _note_regained(self, mirror: TableMirror) -> None:
+    def _note_answered(self, progress: '_Progress') -> None:
+        progress.pause_seconds = _FIRST_PAUSE_SECONDS
+        mirror = progress.mirror
         self._gateway.state.metrics.source_up.labels(mirror.name).set(1)
+        if not progress.is_lost:
+            return
+        progress.is_lost = False
         log_decision(
             Decision.DEPENDENCY_REGAINED,
             dependency='store',
@@ -149,6 +155,20 @@
         return mirror
 
 
+@dataclass
+class _Progress:
+    """How far a table was followed.
+
+    :param since: version to go on from, None to read the whole table.
+    :param is_lost: whether the last call failed.
+    """
+
+    mirror: TableMirror
+    since: int | None = None
+    is_lost: bool = False
+    pause_seconds: float = _FIRST_PAUSE_SECONDS
+
+
 class Announcer:
     """Writes where this router is, and reads where the others are.
 
--- a/tests/test_platform_contract.py
+++ b/tests/test_backing_contract.py
@@ -3,7 +3,7 @@
 import contextlib
 
 import pytest
-from platformkit import on_each
+from backingkit import on_each
 
 from dotterelhatch.ids import FailureDomain
 from dotterelhatch.backing.interfaces import (
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 import curio
 import pytest
 from claimkit import World, begin, run
-from platformkit import http, in_curio
+from backingkit import http, in_curio
 
 from dotterelhatch.claimstore import ClaimStore
 from dotterelhatch.core.claims import (
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,257 @@
+"""What the adapter makes of the platform's files, rows and headers."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from dotterelhatch.core.registry import TargetState
+from dotterelhatch.core.routes import RouteKind
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
+from dotterelhatch.gateway.wireformat import Forwarding
+from dotterelhatch.ids import OrganisationId, TargetId
+from dotterelhatch.net.heads import RequestHead
+from dotterelhatch.platform.documents import (
+    decode_routing_table,
+    decode_targets,
+)
+from dotterelhatch.platform.settings import load_settings, parse_settings
+from dotterelhatch.platform.store import RowChange
+from dotterelhatch.platform.wire import PlatformWire
+
+SETTINGS = """
+node-name = "edge-konya-1"
+ip = "10.1.0.33"
+zone = "konya"
+region = "anadolu"
+port-range = [7400, 7415]
+seeds = ["10.2.0.18:8785", "10.1.0.33:8785"]
+unknown-field = true
+[listen]
+front = "10.1.0.33:8783"
+ready = "10.1.0.33:8780"
+control = "10.1.0.33:8785"
+directory = "10.1.0.33:8789"
+[limits]
+memory-mb = 205
+max-fds = 6150
+[bounds]
+grace-s = 8
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 56
+quota-window-s = 4
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8781"
+"""
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'a.example',
+            'prefix': '/draft/',
+            'kind': 'streaming',
+            'timeout-ms': 4000,
+            'slo-ms': 500,
+            'split': [
+                {'service': 'llm', 'weight': 90},
+                {'service': 'app', 'weight': 0},
+            ],
+            'max-attempts': 1,
+            'public': False,
+            'resumable': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'engine': {'slots': 64, 'kv-capacity-tokens': 289119},
+        },
+        {'name': 'app'},
+    ],
+    'limits': {'max-body-bytes': 1000, 'tokens-per-s': 160000},
+    'tenants': [{'name': 'hule930', 'api-keys': ['k1', 'k2']}],
+}
+SERVER = {
+    'service': 'llm',
+    'address': '10.128.0.9:8080',
+    'zone': 'konya',
+    'slots': 64,
+    'state': 'ready',
+    'born': 1700000000000,
+    'seq': 4,
+}
+HEAD = RequestHead(
+    'POST',
+    '/draft/1?x=1',
+    (
+        ('Host', 'a.example:80'),
+        ('Dotterelhatch-Request-Id', '9c41'),
+        ('Dotterelhatch-Token-Counts', '1460,80'),
+        ('Dotterelhatch-Prompt-Prefix', '5c:800, 91:410,e4:250'),
+        ('Dotterelhatch-Deadline-Ms', '4000'),
+        ('Authorization', 'Bearer k1'),
+        ('X-Other', 'kept'),
+    ),
+)
+
+
+def test_settings_are_decoded_with_units() -> None:
+    """Guards against limits and addresses in the wrong field."""
+    process = parse_settings(SETTINGS)
+    settings = process.gateway
+    assert settings.router_id == 'edge-konya-1'
+    assert settings.caller_address == '10.1.0.33:8783'
+    assert settings.heartbeat_address == '10.1.0.33:7400'
+    assert settings.seed_addresses == ('10.2.0.18:7400', '10.1.0.33:7400')
+    assert settings.memory_limit_bytes == 205 * 1024 * 1024
+    assert settings.repeats.slack_count == 56
+    assert settings.leaving.limit_seconds == 8
+    assert process.store_address == '10.200.1.7:8781'
+
+
+@pytest.mark.parametrize(
+    ('change', 'named'),
+    [
+        (('node-name = "edge-konya-1"', ''), 'node-name'),
+        (('front = "10.1.0.33:8783"', 'front = 5'), 'listen.front'),
+        (('memory-mb = 205', 'memory-mb = -1'), 'limits.memory-mb'),
+        (('zone = "konya"', 'zone = "konya'), 'TOML'),
+    ],
+)
+def test_wrong_settings_are_named(change: tuple[str, str], named: str) -> None:
+    """Guards against a process that starts with settings it misread."""
+    with pytest.raises(DotterelhatchError) as caught:
+        parse_settings(SETTINGS.replace(*change))
+    assert caught.value.kind is ErrorKind.SETTINGS_INVALID
+    assert named in str(caught.value)
+
+
+def test_a_missing_settings_file_is_an_error_of_its_own(
+    tmp_path: Path,
+) -> None:
+    """Guards against a stack trace instead of a message."""
+    with pytest.raises(DotterelhatchError) as caught:
+        load_settings(tmp_path / 'absent.toml')
+    assert 'absent.toml' in str(caught.value)
+
+
+def test_a_configuration_becomes_a_routing_table() -> None:
+    """Guards against fields that are read as something else."""
+    table = decode_routing_table(json.dumps(CONFIG).encode())
+    route = table.find_route('a.example', '/draft/1')
+    assert route is not None
+    assert route.kind is RouteKind.STREAMING
+    assert (route.timeout_seconds, route.objective_seconds) == (4, 0.5)
+    assert [share.service for share in route.shares] == ['llm']
+    assert route.is_repeatable
+    engine = table.services[route.shares[0].service].engine
+    assert engine is not None
+    assert engine.memory_tokens == 289119
+    assert table.find_organisation('k2') == 'hule930'
+    assert table.needs_key(route)
+    assert table.limits.max_body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'[]', b'{"version": 1}', b'{"version": "x", "routes": []}', b'\xff'],
+)
+def test_an_unreadable_configuration_is_refused(content: bytes) -> None:
+    """Guards against an empty table in place of an unreadable one."""
+    with pytest.raises(ValueError):
+        decode_routing_table(content)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': 5},
+        {'address': 'nowhere'},
+        {'address': None},
+        {'state': 'resting'},
+        {'state': ['ready']},
+        {'slots': '64'},
+        {'slots': True},
+        {'born': 1.5},
+        {'zone': None},
+    ],
+)
+def test_a_spoiled_entry_names_no_target_and_the_others_hold(
+    change: dict[str, object],
+) -> None:
+    """Guards against one bad row that takes all targets away."""
+    rows = [
+        RowChange('i-1', json.dumps(SERVER).encode(), 3),
+        RowChange('i-2', json.dumps(SERVER | change).encode(), 4),
+        RowChange('i-3', b'\xff\x00', 5),
+        RowChange('i-4', b'[1]', 6),
+    ]
+    assert [entry.id for entry in decode_targets(rows)] == ['i-1']
+
+
+def test_an_entry_becomes_a_target() -> None:
+    """Guards against a draining server that gets new work."""
+    content = json.dumps(SERVER | {'state': 'draining'}).encode()
+    entry = decode_targets([RowChange('i-1', content, 3)])[0]
+    assert entry.state is TargetState.LEAVING
+    assert entry.started_ms == 1700000000000
+
+
+def test_a_request_is_decoded() -> None:
+    """Guards against sizes and times in the wrong unit."""
+    facts = PlatformWire().decode_request(HEAD)
+    assert facts.host == 'a.example'
+    assert facts.api_key == 'k1'
+    assert facts.deadline_seconds == 4
+    assert facts.prompt is not None
+    assert facts.prompt.input_tokens == 1460
+    assert [part.id for part in facts.prompt.shared_parts] == ['5c', '91']
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('Dotterelhatch-Deadline-Ms', 'soon'),
+        ('Dotterelhatch-Deadline-Ms', 'nan'),
+        ('Dotterelhatch-Deadline-Ms', '-5'),
+        ('Dotterelhatch-Token-Counts', '5'),
+        ('Dotterelhatch-Token-Counts', 'a,b'),
+        ('Dotterelhatch-Prompt-Prefix', 'a:b'),
+        ('Dotterelhatch-Request-Id', ''),
+    ],
+)
+def test_malformed_headers_are_refused(name: str, text: str) -> None:
+    """Guards against a bad header that ends as an internal error."""
+    headers = dict(HEAD.headers) | {name: text}
+    head = RequestHead('POST', '/draft/1', tuple(headers.items()))
+    with pytest.raises(DotterelhatchError) as caught:
+        PlatformWire().decode_request(head)
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_a_forwarded_head_has_the_remaining_time() -> None:
+    """Guards against a target that works longer than its caller waits."""
+    wire = PlatformWire()
+    head = wire.encode_request(
+        HEAD,
+        wire.decode_request(HEAD),
+        Forwarding(TargetId('i-1'), 1.2345, OrganisationId('hule930'), '3'),
+    )
+    assert head.header('Dotterelhatch-Deadline-Ms') == '1234'
+    assert head.header('Dotterelhatch-Expect-Instance') == 'i-1'
+    assert head.header('Dotterelhatch-Tenant') == 'hule930'
+    assert head.header('Last-Event-Id') == '3'
+    assert head.header('X-Other') == 'kept'
+    assert head.header('Authorization') is None
+
+
+def test_the_deploy_files_pins_agree_with_the_lock_file() -> None:
+    """Guards against a build that runs other versions than the tests."""
+    root = Path(__file__).parent.parent
+    pinned = (root / 'requirements.lock').read_text().splitlines()
+    deployed = (root / 'deploy/requirements.lock').read_text().splitlines()
+    assert deployed
+    assert set(deployed) <= set(pinned)
--- /dev/null
+++ b/tests/test_platform_feeds.py
@@ -0,0 +1,253 @@
+"""Following the store through its faults."""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import pytest
+
+from dotterelhatch.gateway.daemon import Gateway
+from dotterelhatch.ids import ServiceId
+from dotterelhatch.net.http import HttpServer
+from dotterelhatch.platform.feeds import Announcer, StoreFollower
+from dotterelhatch.platform.mirror import TableMirror
+from dotterelhatch.platform.store import RowChange, RowsPage, Store
+from dotterelhatch.platform.wire import PlatformWire
+from standins.row_store import RowStore, StoreFault
+from tests.gatewaykit import gateway_settings, run_async
+from tests.test_platform_adapter import CONFIG, SERVER
+
+LLM = ServiceId('llm')
+
+
+@dataclass
+class Router:
+    """A gateway that follows a store."""
+
+    gateway: Gateway
+    announcer: Announcer
+
+    @property
+    def version(self) -> int:
+        """Return the version of the table in force, 0 without one."""
+        table = self.gateway.state.table
+        return table.version if table else 0
+
+    @property
+    def targets(self) -> list[str]:
+        """Return the ids of the targets in use."""
+        return [one.id for one in self.gateway.state.registry.ready(LLM)]
+
+
+@contextlib.asynccontextmanager
+async def open_router(
+    store_address: str, name: str = 'r1', seeds: tuple[str, ...] = ()
+) -> AsyncIterator[Router]:
+    """Open a router that follows the store at an address."""
+    settings = gateway_settings(name, seed_addresses=seeds)
+    gateway = Gateway(settings, PlatformWire())
+    store = Store(store_address)
+    follower = StoreFollower(store, gateway)
+    announcer = Announcer(store, gateway)
+    async with gateway:
+        for work in (
+            follower.follow_operator,
+            follower.follow_servers,
+            announcer.run,
+        ):
+            await curio.spawn(work, daemon=True)
+        yield Router(gateway, announcer)
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    """Wait until a condition holds; the test has its own time limit."""
+    while not condition():
+        await curio.sleep(0.01)
+
+
+def filled_store() -> RowStore:
+    """Return a store with a configuration and a server."""
+    store = RowStore()
+    store.put('op', 'config', CONFIG)
+    store.put('servers', 'i-1', SERVER)
+    return store
+
+
+@run_async
+async def test_changes_are_in_force_as_soon_as_they_are_written() -> None:
+    """Guards against a version that waits for the next poll."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            await until(lambda: router.version == 7)
+            await until(lambda: router.targets == ['i-1'])
+            store.put('op', 'config', CONFIG | {'version': 9})
+            store.put('servers', 'i-2', SERVER)
+            store.put('servers', 'i-1', SERVER | {'state': 'draining'})
+            await until(lambda: router.version == 9)
+            await until(lambda: router.targets == ['i-2'])
+            store.delete('servers', 'i-2')
+            await until(lambda: router.targets == [])
+
+
+@run_async
+async def test_an_unreadable_version_leaves_the_last_one_in_force() -> None:
+    """Guards against a router without routes after a bad write."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            await until(lambda: router.version == 7)
+            store.put_bytes('op', 'config', b'\xff')
+            store.put('op', 'other', {})
+            await until(
+                lambda: router.gateway.shelf.versions()['op'] == store.version
+            )
+            assert router.version == 7
+
+
+@run_async
+async def test_the_table_is_read_anew_when_the_history_is_gone() -> None:
+    """Guards against a drain that was written while the feed was cut."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            await until(lambda: router.targets == ['i-1'])
+            store.fault = StoreFault.BUSY
+            await until(lambda: store.calls[-3:] == ['/rows-feed'] * 3)
+            store.put('servers', 'i-1', SERVER | {'state': 'draining'})
+            store.compact()
+            store.fault = None
+            await until(lambda: router.targets == [])
+
+
+@pytest.mark.parametrize('fault', [StoreFault.BUSY, StoreFault.RESET])
+def test_a_lost_store_changes_nothing_until_it_returns(
+    fault: StoreFault,
+) -> None:
+    """Guards against routers that forget what they know in an outage."""
+
+    @run_async
+    async def check() -> None:
+        store = filled_store()
+        async with HttpServer('127.0.0.1:0', store) as server:
+            async with open_router(f'127.0.0.1:{server.port}') as router:
+                await until(lambda: router.targets == ['i-1'])
+                store.fault = fault
+                calls_count = len(store.calls)
+                await until(lambda: len(store.calls) > calls_count + 4)
+                assert (router.version, router.targets) == (7, ['i-1'])
+                store.put('op', 'config', CONFIG | {'version': 8})
+                store.fault = None
+                await until(lambda: router.version == 8)
+
+    check()
+
+
+@run_async
+async def test_entries_that_lapsed_in_an_outage_are_used_meanwhile() -> None:
+    """Guards against a service that stops when the store returns."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            await until(lambda: router.targets == ['i-1'])
+            store.fault = StoreFault.BUSY
+            calls_count = len(store.calls)
+            await until(lambda: len(store.calls) > calls_count + 4)
+            store.delete('servers', 'i-1')
+            version = store.version
+            store.fault = None
+            await until(
+                lambda: router.gateway.shelf.versions()['servers'] >= version
+            )
+            assert router.targets == ['i-1']
+            # Its owner is gone: the grace ends without another call.
+            await until(lambda: router.targets == [])
+
+
+@run_async
+async def test_a_router_cut_from_the_store_follows_its_peers() -> None:
+    """Guards against revoked keys that stay valid at one router."""
+    store = filled_store()
+    cut = filled_store()
+    async with (
+        HttpServer('127.0.0.1:0', store) as server,
+        HttpServer('127.0.0.1:0', cut) as cut_server,
+        open_router(f'127.0.0.1:{server.port}', 'r1') as first,
+    ):
+        seeds = (first.gateway.settings.heartbeat_address,)
+        address = f'127.0.0.1:{cut_server.port}'
+        async with open_router(address, 'r2', seeds) as second:
+            await until(lambda: second.version == 7)
+            cut.fault = StoreFault.SILENT
+            revoked = {'version': 8, 'tenants': [{'name': 'x', 'api-keys': []}]}
+            store.put('op', 'config', CONFIG | revoked)
+            store.put('servers', 'i-1', SERVER | {'state': 'draining'})
+            await until(lambda: second.version == 8)
+            await until(lambda: second.targets == [])
+
+
+@run_async
+async def test_a_router_that_starts_without_the_store_asks_its_peers() -> None:
+    """Guards against a restart that has to wait for the store."""
+    store = filled_store()
+    cut = RowStore(fault=StoreFault.BUSY)
+    async with (
+        HttpServer('127.0.0.1:0', store) as server,
+        HttpServer('127.0.0.1:0', cut) as cut_server,
+        open_router(f'127.0.0.1:{server.port}', 'r1') as first,
+    ):
+        await until(lambda: first.targets == ['i-1'])
+        seeds = (first.gateway.settings.heartbeat_address,)
+        address = f'127.0.0.1:{cut_server.port}'
+        async with open_router(address, 'r2', seeds) as second:
+            await until(lambda: second.targets == ['i-1'])
+            assert second.version == 7
+            await until(
+                lambda: len(first.gateway.caller_addresses('konya')) == 2
+            )
+
+
+@run_async
+async def test_routers_without_seeds_meet_through_the_store() -> None:
+    """Guards against a fleet that splits when all seeds were replaced."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        address = f'127.0.0.1:{server.port}'
+        async with (
+            open_router(address, 'r1') as first,
+            open_router(address, 'r2') as second,
+        ):
+            await until(lambda: len(store.keys('dotterelhatch-routers')) == 2)
+            for router in (first, second):
+                await until(
+                    lambda router=router: (  # type: ignore[misc]
+                        len(router.gateway.caller_addresses('konya')) == 2
+                    )
+                )
+            await second.announcer.withdraw()
+            assert store.keys('dotterelhatch-routers') == ['r1']
+
+
+def test_a_mirror_ignores_older_answers() -> None:
+    """Guards against a configuration that reverts after a reconnect."""
+    mirror = TableMirror('op')
+    assert mirror.replace(RowsPage((RowChange('config', b'new', 9),), 9))
+    assert not mirror.replace(RowsPage((RowChange('config', b'old', 5),), 6))
+    mirror.apply(RowsPage((RowChange('config', b'old', 5),), 9))
+    assert [row.content for row in mirror.rows] == [b'new']
+
+
+def test_a_snapshot_holds_what_the_mirror_holds() -> None:
+    """Guards against rows that are lost between routers."""
+    mirror = TableMirror('servers')
+    rows = tuple(
+        RowChange(f'i-{one}', json.dumps(SERVER).encode(), one)
+        for one in range(1, 5)
+    )
+    mirror.replace(RowsPage(rows, 7))
+    other = TableMirror('servers')
+    other.restore(mirror.snapshot())
+    assert (other.rows, other.version) == (mirror.rows, 7)
