--- /dev/null
+++ b/tests/test_boundary.py
@@ -0,0 +1,43 @@
+"""The names of the platform stay in the adapter."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / 'src/dotterelhatch'
+# Names on the wire, in the settings file and in the store.
+NAMES = re.compile(
+    r'Dotterelhatch-[A-Z]|rows-(?:tx|get|feed)|/readiness|/resolve|slo-ms'
+    r'|gap-target|kv-|api-keys|\btenants?\b|\bzones?\b|max-attempts'
+    r'|\brequesters?\b|since-rev|port-range',
+)
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        one
+        for one in sorted(PACKAGE.rglob('*.py'))
+        if PACKAGE / 'platform' not in one.parents
+    ],
+    ids=lambda one: str(one.relative_to(PACKAGE)),
+)
+def test_no_name_of_the_platform_outside_the_adapter(path: Path) -> None:
+    """Guards against wire names that spread through the product."""
+    found = NAMES.search(path.read_text(encoding='utf-8'))
+    assert found is None, found
+
+
+def test_the_adapter_stays_small() -> None:
+    """Guards against decisions that move into the adapter."""
+
+    def lines(folder: Path) -> int:
+        return sum(
+            len(one.read_text(encoding='utf-8').splitlines())
+            for one in folder.rglob('*.py')
+            if '_pb2' not in one.name
+        )
+
+    assert lines(PACKAGE / 'platform') < 0.1 * lines(PACKAGE)
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,181 @@
+"""The process that the deploy file describes, built and run."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+
+from dotterelhatch.net.http import HttpError, HttpServer, Response, fetch
+from standins.row_store import RowStore
+from standins.served import ServedStandIn
+from tests.gatewaykit import free_port, run_async
+from tests.test_platform_adapter import CONFIG, SERVER
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+HEADERS = {
+    'Host': 'a.example',
+    'Dotterelhatch-Request-Id': 'r1',
+    'Dotterelhatch-Deadline-Ms': '4000',
+    'Dotterelhatch-Token-Counts': '900,80',
+    'Dotterelhatch-Prompt-Prefix': 'aa:600,bb:300',
+    'Authorization': 'Bearer k1',
+}
+
+
+@pytest.fixture(scope='module')
+def built(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Build in a copy of the checkout, as the deploy file says."""
+    copy = tmp_path_factory.mktemp('checkout')
+    for name in ('src', 'deploy'):
+        shutil.copytree(
+            ROOT / name,
+            copy / name,
+            ignore=shutil.ignore_patterns('__pycache__', '*.egg-info'),
+        )
+    subprocess.run(
+        DEPLOY['build'], shell=True, cwd=copy, check=True, timeout=300
+    )
+    return copy
+
+
+class Process:
+    """A router process with its addresses."""
+
+    def __init__(self, checkout: Path, folder: Path, store: str) -> None:
+        """Start the process with a settings file of its own."""
+        ports = [free_port() for _ in range(5)]
+        self.caller, self.ready, self.control, self.directory = (
+            f'127.0.0.1:{port}' for port in ports[:4]
+        )
+        self.path = folder / 'settings.toml'
+        self.path.write_text(
+            f"""
+            node-name = "edge-1"
+            ip = "127.0.0.1"
+            zone = "konya"
+            port-range = [{ports[4]}, {ports[4]}]
+            [listen]
+            front = "{self.caller}"
+            ready = "{self.ready}"
+            control = "{self.control}"
+            directory = "{self.directory}"
+            [bounds]
+            grace-s = 3
+            ttl_max_s = 1
+            [platform]
+            address = "{store}"
+            """
+        )
+        command = DEPLOY['roles']['router']['run'].split()
+        self.popen = subprocess.Popen(
+            [sys.executable, *command[1:]],
+            cwd=checkout,
+            env={
+                'PATH': os.environ['PATH'],
+                'PYTHONPATH': str(checkout / 'target/deps'),
+                'DOTTERELHATCH_CONFIG': str(self.path),
+            },
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+
+    async def output(self) -> str:
+        """Wait for the end of the process and return what it wrote."""
+        content, _ = await curio.run_in_thread(self.popen.communicate)
+        return str(content.decode())
+
+    async def is_ready(self) -> bool:
+        """Ask whether the process is ready."""
+        return (await self.get(self.ready, '/readiness')).status == 200
+
+    async def get(self, address: str, path: str) -> Response:
+        """Call the process; it may not listen yet."""
+        try:
+            return await fetch(address, 'GET', path, timeout_seconds=2)
+        except HttpError:
+            return Response(0, (), b'')
+
+
+async def _until(condition: Callable[[], Any]) -> None:
+    while not await condition():
+        await curio.sleep(0.05)
+
+
+def test_a_request_in_an_answer_out_and_a_clean_stop(
+    built: Path, tmp_path: Path
+) -> None:
+    """Guards against a build that works only in the development tree."""
+
+    @run_async
+    async def check() -> None:
+        store = RowStore()
+        server = ServedStandIn('i-1')
+        async with (
+            HttpServer('127.0.0.1:0', store) as store_server,
+            HttpServer('127.0.0.1:0', server) as target_server,
+        ):
+            address = f'127.0.0.1:{target_server.port}'
+            store.put('op', 'config', CONFIG)
+            store.put('servers', 'i-1', SERVER | {'address': address})
+            process = Process(built, tmp_path, f'127.0.0.1:{store_server.port}')
+            try:
+                await _until(process.is_ready)
+                await _serve_and_stop(process, server)
+            finally:
+                if process.popen.poll() is None:
+                    process.popen.kill()
+
+    check()
+
+
+async def _serve_and_stop(process: Process, server: ServedStandIn) -> None:
+    resolved = await process.get(
+        process.directory, '/resolve?name=a.example&zone=konya'
+    )
+    assert process.caller.encode() in resolved.body
+    metrics = await process.get('127.0.0.1:9464', '/metrics')
+    assert b'dotterelhatch_gateway_requests' in metrics.body
+    response = await fetch(
+        process.caller, 'POST', '/draft/1', tuple(HEADERS.items()), b'{}'
+    )
+    assert response.status == 200
+    assert response.body.count(b'data:') == 4
+    process.popen.send_signal(signal.SIGHUP)
+    process.popen.send_signal(signal.SIGTERM)
+    output = await process.output()
+    assert process.popen.returncode == 0, output
+    for event in ('started', 'served', 'reloaded', 'leaving', 'stopped'):
+        assert f'"event": "{event}"' in output
+    assert 'k1' not in output
+    assert server.runs == ['r1']
+
+
+def test_wrong_settings_end_the_process_with_a_message(
+    built: Path, tmp_path: Path
+) -> None:
+    """Guards against a restart loop without a reason in the log."""
+    path = tmp_path / 'settings.toml'
+    path.write_text('node-name = 5')
+    ended = subprocess.run(
+        [sys.executable, '-m', 'dotterelhatch.platform'],
+        cwd=built,
+        env={
+            'PATH': os.environ['PATH'],
+            'PYTHONPATH': str(built / 'target/deps'),
+            'DOTTERELHATCH_CONFIG': str(path),
+        },
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
+    assert ended.returncode == 19
+    assert b'node-name' in ended.stderr
