--- a/src/dotterelhatch/cli/_app.py
+++ b/src/dotterelhatch/cli/_app.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from dotterelhatch.cli import _fleet, _routers
+from dotterelhatch.cli import _fleet, _logs, _routers
 from dotterelhatch.cli._common import ErrorGroup
 from dotterelhatch.cli._config import config_app
 from dotterelhatch.version import VERSION
@@ -79,6 +79,9 @@
 app.command('dump', epilog=_example('dump 127.0.0.1:20012'))(
     _routers.print_dump
 )
+app.command('trace', epilog=_example('trace 9c41d07be2a35f68 router-*.log'))(
+    _logs.trace_request
+)
 app.add_typer(_drain, name='drain')
 app.add_typer(_undrain, name='undrain')
 app.add_typer(_fleet.keys_app, name='keys')
--- /dev/null
+++ b/src/dotterelhatch/cli/_logs.py
@@ -0,0 +1,89 @@
+"""Commands that read the logs of gateway processes."""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from dotterelhatch.cli._common import JsonOption, show
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
+
+__all__ = ('trace_request',)
+
+_STANDARD_INPUT = Path('-')
+# Shown at the start of a line, or the same in every line of a request.
+_LEADING_FIELDS = frozenset(
+    ('timestamp', 'router', 'event', 'level', 'request_id')
+)
+_EventLine = dict[str, Any]
+
+
+def trace_request(
+    request_id: Annotated[str, typer.Argument(help='Id of the request.')],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help='Log files of all routers; - or none: stdin.'),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Print what the routers decided about a request, in order.
+
+    Lines about the targets that it was sent to are shown as well, because a
+    target that changed or was suspected explains a failed attempt.
+    """
+    lines = list(_read_all(files or [_STANDARD_INPUT]))
+    own = [line for line in lines if line.get('request_id') == request_id]
+    if not own:
+        raise DotterelhatchError(
+            ErrorKind.NOT_FOUND, f'no line about request {request_id}'
+        )
+    targets = {line['target'] for line in own if line.get('target')}
+    related = [
+        line
+        for line in lines
+        if 'request_id' not in line and line.get('target') in targets
+    ]
+    story = sorted(own + related, key=lambda line: str(line.get('timestamp')))
+    show(as_json, story, [_describe(line) for line in story])
+
+
+def _read_all(files: Iterable[Path]) -> Iterator[_EventLine]:
+    for path in files:
+        if path == _STANDARD_INPUT:
+            yield from _decode_lines(sys.stdin)
+            continue
+        try:
+            with path.open(encoding='utf-8', errors='replace') as log:
+                yield from _decode_lines(log)
+        except OSError as error:
+            raise DotterelhatchError(
+                ErrorKind.BAD_REQUEST, f'{path}: {error.strerror}'
+            ) from error
+
+
+def _decode_lines(log: Iterable[str]) -> Iterator[_EventLine]:
+    """Return the events of a log, which may have a prefix in each line."""
+    for line in log:
+        start = line.find('{')
+        if start < 0:
+            continue
+        try:
+            document = json.loads(line[start:])
+        except ValueError:
+            # The last line of a killed process may be cut.
+            continue
+        if isinstance(document, dict) and 'event' in document:
+            yield document
+
+
+def _describe(line: _EventLine) -> str:
+    facts = ' '.join(
+        f'{name}={fact}'
+        for name, fact in line.items()
+        if name not in _LEADING_FIELDS and fact is not None
+    )
+    timestamp = line.get('timestamp', '')
+    return f'{timestamp} {line.get("router", "")} {line["event"]}: {facts}'
