--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -1,7 +1,7 @@
 """How long a request may wait for others at a model engine.
 
-While refusals are rare a request may wait as long as it is still answered in
-time, and a late one as long as others. Under lasting overload the queue is
+While refusals are rare a request may wait for most of its objective, even if
+that makes it a little late: refused, it would come back later still. Under lasting overload the queue is
 kept shorter, for these load patterns:
 
 - mixed kinds: a limit from the shortest objective of the service, so that no
@@ -81,12 +81,11 @@
     read_seconds = min(read_seconds, objective_seconds * _READ_SHARE)
     left_seconds = objective_seconds - claim.age_seconds
     left_seconds -= read_seconds + _FIXED_SECONDS
+    patient = max(left_seconds, objective_seconds * _LATE_WAIT_SHARE)
+    short = _LATE_WAIT_PRESSED_SECONDS
     if left_seconds > 0:
         short = min(left_seconds, shortest_objective_seconds * _WAIT_SHARE)
-        limit = _between(left_seconds, short, pressed)
-    else:
-        patient = objective_seconds * _LATE_WAIT_SHARE
-        limit = _between(patient, _LATE_WAIT_PRESSED_SECONDS, pressed)
+    limit = _between(patient, short, pressed)
     limit *= _between(1.0, _share_factor(claim.used_share), overload)
     return limit * _kind_factor(claim.kind_share, pressed)
 
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -286,6 +286,8 @@
             )
             placement = self._place(demand, work)
             following = await self._attempt(placement, work, relay)
+            # What was admitted once is not refused for the load any more.
+            claim = Claim(claim.age_seconds)
 
     def _claim(self, work: '_Work') -> Claim:
         """Return what speaks for the request, and count it."""
