Sum the reports of peers when they arrive

Each placement summed the reports of all peers for each engine, and each admission the usage of all organisations at all peers; heartbeats came once a second, so engines were chosen on reports that were out of date.

--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -1,8 +1,8 @@
 """How long a request may wait for others at a model engine.
 
 While refusals are rare a request may wait for most of its objective, even if
-that makes it a little late: refused, it would come back later still. Under lasting overload the queue is
-kept shorter, for these load patterns:
+that makes it a little late: refused, it would come back later still. Under
+lasting overload the queue is kept shorter, for these load patterns:
 
 - mixed kinds: a limit from the shortest objective of the service, so that no
   kind of request is crowded out by a more patient one;
@@ -21,9 +21,8 @@
 
 __all__ = ('AdmissionWindow', 'Claim', 'wait_limit_seconds')
 
-# Part of the shortest objective that may pass before an engine begins; the
-# rest is for the prompt itself.
-_WAIT_SHARE: Final = 0.75
+# Part of the shortest objective that may pass before an engine begins.
+_WAIT_SHARE: Final = 1.0
 # From the arrival of an empty prompt at an idle engine to the first event at
 # the caller, with a margin for the error of the prediction.
 _FIXED_SECONDS: Final = 0.07
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -157,10 +157,8 @@
             return Refusal('no_target', self._spread(_RETRY_MIN_SECONDS))
         engine = demand.service.engine
         if engine is None or demand.prompt is None:
-            return self._place_plain(demand, entries, now_seconds)
-        return self._place_prompt(
-            demand, engine, demand.prompt, entries, now_seconds
-        )
+            return self._place_plain(demand, entries)
+        return self._place_prompt(demand, engine, demand.prompt, entries)
 
     def on_plain_answered(self, seconds: float) -> None:
         """Take over the time that a plain request took at its target."""
@@ -183,10 +181,10 @@
         return usable or fresh
 
     def _place_plain(
-        self, demand: Demand, entries: list[TargetEntry], now_seconds: float
+        self, demand: Demand, entries: list[TargetEntry]
     ) -> Placement | Refusal:
         best = min(
-            (self._plain_option(entry, now_seconds) for entry in entries),
+            (self._plain_option(entry) for entry in entries),
             key=lambda option: option.score_seconds,
         )
         placement = best.placement
@@ -196,8 +194,8 @@
             return self._refuse(placement.wait_seconds, limit_seconds)
         return placement
 
-    def _plain_option(self, entry: TargetEntry, now_seconds: float) -> _Option:
-        load = self._board.total(entry.id, now_seconds)
+    def _plain_option(self, entry: TargetEntry) -> _Option:
+        load = self._board.total(entry.id)
         slots = max(1, entry.slots_count)
         excess = max(0, load.requests_count + 1 - slots)
         wait_seconds = excess * self._plain_seconds / slots
@@ -219,13 +217,10 @@
         engine: EngineSpec,
         prompt: Prompt,
         entries: list[TargetEntry],
-        now_seconds: float,
     ) -> Placement | Refusal:
         ranks = _ranks(prompt.affinity_key, entries)
         options = [
-            self._prompt_option(
-                entry, ranks[entry.id], engine, prompt, now_seconds
-            )
+            self._prompt_option(entry, ranks[entry.id], engine, prompt)
             for entry in entries
         ]
         options.sort(key=lambda one: one.score_seconds)
@@ -256,9 +251,8 @@
         rank: int,
         engine: EngineSpec,
         prompt: Prompt,
-        now_seconds: float,
     ) -> _Option:
-        load = self._board.total(entry.id, now_seconds)
+        load = self._board.total(entry.id)
         kept_tokens = self.cache.kept_tokens(entry.id, prompt)
         unread_tokens = max(0, prompt.input_tokens - kept_tokens)
         rate = _READ_TOKENS_PER_SECOND / self._health.slowness(entry.id)
--- a/src/dotterelhatch/core/load.py
+++ b/src/dotterelhatch/core/load.py
@@ -32,6 +32,14 @@
             self.memory_tokens + other.memory_tokens,
         )
 
+    def minus(self, other: 'TargetLoad') -> 'TargetLoad':
+        """Return what is left without the other."""
+        return TargetLoad(
+            self.requests_count - other.requests_count,
+            self.unread_tokens - other.unread_tokens,
+            self.memory_tokens - other.memory_tokens,
+        )
+
 
 _NOTHING = TargetLoad()
 
@@ -86,6 +94,9 @@
         """Start without load."""
         self._own: dict[TargetId, TargetLoad] = {}
         self._reports: dict[RouterId, _Report] = {}
+        # Sums of the reports. A request is placed by the load of every target
+        # of a service, which would else be summed over all routers each time.
+        self._reported: dict[TargetId, TargetLoad] = {}
 
     @property
     def own(self) -> Mapping[TargetId, TargetLoad]:
@@ -114,13 +125,43 @@
         now_seconds: float,
     ) -> None:
         """Replace what a peer reported before."""
+        self._drop_report(router)
         self._reports[router] = _Report(now_seconds, loads)
+        for target, load in loads.items():
+            known = self._reported.get(target, _NOTHING)
+            self._reported[target] = known.plus(load)
+        self._expire(now_seconds)
 
-    def total(self, target: TargetId, now_seconds: float) -> TargetLoad:
+    def total(self, target: TargetId) -> TargetLoad:
         """Return the load that all routers have put on a target."""
-        load = self._own.get(target, _NOTHING)
+        own = self._own.get(target)
+        reported = self._reported.get(target)
+        if own is None:
+            return reported or _NOTHING
+        return own if reported is None else own.plus(reported)
+
+    def _expire(self, now_seconds: float) -> None:
+        """Drop the reports of routers that stopped.
+
+        It is called with each report; without any report the last ones stay,
+        as a router that hears nobody can't tell who stopped.
+        """
         oldest_seconds = now_seconds - _REPORT_LIFETIME_SECONDS
-        for report in self._reports.values():
-            if report.received_seconds >= oldest_seconds:
-                load = load.plus(report.loads.get(target, _NOTHING))
-        return load
+        stopped = [
+            router
+            for router, report in self._reports.items()
+            if report.received_seconds < oldest_seconds
+        ]
+        for router in stopped:
+            self._drop_report(router)
+
+    def _drop_report(self, router: RouterId) -> None:
+        report = self._reports.pop(router, None)
+        if report is None:
+            return
+        for target, load in report.loads.items():
+            left = self._reported[target].minus(load)
+            if left == _NOTHING:
+                self._reported.pop(target)
+            else:
+                self._reported[target] = left
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -26,8 +26,8 @@
 # A queue at an engine drains within a few tenths of a second, and routers that
 # know less of each other's work than that place requests blindly.
 _SHORTEST_INTERVAL_SECONDS: Final = 0.1
-# Keeps the datagrams that a router receives below 34 per second.
-_INTERVAL_PER_PEER_SECONDS: Final = 0.03
+# Keeps the datagrams that a router receives below 100 per second.
+_INTERVAL_PER_PEER_SECONDS: Final = 0.01
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/core/shares.py
+++ b/src/dotterelhatch/core/shares.py
@@ -1,8 +1,9 @@
 """Max-min shares of the organisations over a sliding window."""
 
+import math
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from dotterelhatch.ids import OrganisationId, RouterId
@@ -12,6 +13,10 @@
 # Usage that a peer reported longer ago than this is out of date.
 _REPORT_LIFETIME_SECONDS: Final = 2.0
 
+# The share changes with the window, slowly; summing the usage of all routers
+# for every request would take more time than placing it.
+_LEVEL_LIFETIME_SECONDS: Final = 0.05
+
 
 def water_level(demands: list[float], capacity: float) -> float:
     """Return the largest amount that every claimant may take.
@@ -69,6 +74,19 @@
     usages: Mapping[OrganisationId, Usage]
 
 
+@dataclass(frozen=True, slots=True)
+class _Level:
+    """The share that was computed last.
+
+    :param tokens: infinity when everybody gets what they ask.
+    :param begun_elsewhere: tokens begun at the other routers.
+    """
+
+    seconds: float = -math.inf
+    tokens: float = math.inf
+    begun_elsewhere: Mapping[OrganisationId, int] = field(default_factory=dict)
+
+
 class ShareMeter:
     """What each organisation asked and got within the last window.
 
@@ -84,6 +102,7 @@
         self._samples: deque[_Sample] = deque()
         self._own: dict[OrganisationId, Usage] = {}
         self._reports: dict[RouterId, _Report] = {}
+        self._level = _Level()
 
     @property
     def own(self) -> Mapping[OrganisationId, Usage]:
@@ -119,14 +138,26 @@
         :returns: 0 when everybody gets what they ask.
         """
         self._trim(now_seconds)
+        if now_seconds - self._level.seconds >= _LEVEL_LIFETIME_SECONDS:
+            self._level = self._compute_level(now_seconds)
+        begun = self._level.begun_elsewhere.get(organisation, 0)
+        begun += self._own.get(organisation, _NOTHING).begun_tokens
+        return begun / max(1, self._level.tokens)
+
+    def _compute_level(self, now_seconds: float) -> '_Level':
         totals = self._totals(now_seconds)
         capacity = sum(usage.begun_tokens for usage in totals.values())
         demands = [
             float(max(usage.asked_tokens, usage.begun_tokens))
             for usage in totals.values()
         ]
+        elsewhere = {
+            organisation: usage.begun_tokens
+            - self._own.get(organisation, _NOTHING).begun_tokens
+            for organisation, usage in totals.items()
+        }
         level = water_level(demands, capacity)
-        return totals.get(organisation, _NOTHING).begun_tokens / max(1, level)
+        return _Level(now_seconds, level, elsewhere)
 
     def _totals(self, now_seconds: float) -> dict[OrganisationId, Usage]:
         totals = dict(self._own)
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from dotterelhatch.core.admission import AdmissionWindow
-from dotterelhatch.core.ages import RefusedRequests
+from dotterelhatch.core.refused import RefusedRequests
 from dotterelhatch.core.allowance import AllowanceSettings, RepeatAllowance
 from dotterelhatch.core.balancer import Balancer, BalancerSettings
 from dotterelhatch.core.load import LoadBoard
@@ -29,8 +29,8 @@
 
 __all__ = ('GatewayState',)
 
-# A source that answers is heard at least every 1.5 s.
-_SOURCE_CURRENT_SECONDS: Final = 3.0
+# A source that answers is heard at least every 3 s.
+_SOURCE_CURRENT_SECONDS: Final = 4.5
 
 
 def _elapsed_seconds() -> float:
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -21,10 +21,10 @@
 __all__ = ('Announcer', 'StoreFollower')
 
 _LOGGER: Final = logging.getLogger(__name__)
-# A call that brings no change ends after this time. It bounds how long a
-# connection that went silent is waited for; a version has to be in force 2 s
-# after it was written.
-_WAIT_SECONDS: Final = 1.5
+# A call that brings no change ends after this time, which bounds how long a
+# connection that went silent is waited for. Changes that it hides are fetched
+# from peers meanwhile.
+_WAIT_SECONDS: Final = 3.0
 _FIRST_PAUSE_SECONDS: Final = 0.15
 _PAUSE_LIMIT_SECONDS: Final = 0.6
 _OPERATOR_TABLE: Final = 'op'
