--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -21,8 +21,9 @@
 
 __all__ = ('AdmissionWindow', 'Claim', 'wait_limit_seconds')
 
-# Part of the shortest objective that may pass before an engine begins.
-_WAIT_SHARE: Final = 1.0
+# Part of the shortest objective that may pass before an engine begins; the
+# rest is for the prompt itself.
+_WAIT_SHARE: Final = 0.75
 # From the arrival of an empty prompt at an idle engine to the first event at
 # the caller, with a margin for the error of the prediction.
 _FIXED_SECONDS: Final = 0.07
