--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -218,6 +218,9 @@
         prompt: Prompt,
         entries: list[TargetEntry],
     ) -> Placement | Refusal:
+        hopeless = self._refuse_hopeless(demand, entries)
+        if hopeless is not None:
+            return hopeless
         ranks = _ranks(prompt.affinity_key, entries)
         options = [
             self._prompt_option(entry, ranks[entry.id], engine, prompt)
@@ -236,6 +239,29 @@
             shortest.wait_seconds, self._limit_seconds(demand, shortest)
         )
 
+    def _refuse_hopeless(
+        self, demand: Demand, entries: list[TargetEntry]
+    ) -> Refusal | None:
+        """Refuse cheaply what no target can begin in time.
+
+        A caller that sends many times its usual gets most of its answers
+        here, and they must not take the time of other requests.
+        """
+        limit_seconds = wait_limit_seconds(
+            demand.claim,
+            demand.route.objective_seconds,
+            demand.shortest_objective_seconds,
+            read_seconds=0,
+        )
+        shortest = min(self._wait_seconds(entry) for entry in entries)
+        if shortest > limit_seconds:
+            return self._refuse(shortest, limit_seconds)
+        return None
+
+    def _wait_seconds(self, entry: TargetEntry) -> float:
+        rate = _READ_TOKENS_PER_SECOND / self._health.slowness(entry.id)
+        return self._board.total(entry.id).unread_tokens / rate
+
     def _limit_seconds(self, demand: Demand, placement: Placement) -> float:
         limit_seconds = wait_limit_seconds(
             demand.claim,
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -21,6 +21,8 @@
 # A router that was silent for this long is not named to callers any more.
 # Several heartbeats have to be lost before.
 _LIVE_SECONDS: Final = 2.0
+# A cut of one host lasts for seconds; after this time its peers may be others.
+_ISOLATED_SECONDS: Final = 30.0
 # Addresses of silent peers are kept and tried, because a cut ends.
 _FORGOTTEN_SECONDS: Final = 60.0
 # A queue at an engine drains within a few tenths of a second, and routers that
@@ -38,6 +40,8 @@
         its former incarnation told.
     :param sequence: orders the heartbeats of one incarnation.
     :param is_ready: whether callers should be sent there.
+    :param is_accepting: whether connections are accepted, which goes on for a
+        while after the router began to leave.
     :param snapshot_versions: version of each document it has.
     :param loads: what it has sent to each target.
     :param usages: what organisations asked and got there lately.
@@ -57,6 +61,7 @@
     control_address: str
     heartbeat_address: str
     is_ready: bool
+    is_accepting: bool
     snapshot_versions: Mapping[str, int]
     loads: Mapping[TargetId, TargetLoad]
     usages: Mapping[OrganisationId, Usage] = field(default_factory=dict)
@@ -127,6 +132,23 @@
             if now_seconds - peer.heard_seconds <= _LIVE_SECONDS
         ]
 
+    def nameable(self, now_seconds: float) -> list[Heartbeat]:
+        """Return the peers that callers may be sent to.
+
+        A router that suddenly hears nobody is more likely cut off than the
+        only one left. It goes on to name those it heard last, as its own
+        address alone would draw all callers that ask it.
+        """
+        live = self.live(now_seconds)
+        if live:
+            return live
+        oldest_seconds = now_seconds - _ISOLATED_SECONDS
+        return [
+            peer.heartbeat
+            for peer in self._peers.values()
+            if peer.heard_seconds >= oldest_seconds
+        ]
+
     def addresses(self, now_seconds: float) -> list[str]:
         """Return the addresses to send heartbeats to."""
         oldest_seconds = now_seconds - _FORGOTTEN_SECONDS
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import Final, Self
 
 import curio
@@ -127,7 +128,11 @@
         for server in self._servers:
             await self._stack.enter_async_context(server)
         await self._stack.enter_async_context(self._callers)
-        for work in (self._beat_always, self._keep_up):
+        for work in (
+            self._beat_always,
+            self._keep_up,
+            self.state.lag.measure_always,
+        ):
             self._tasks.append(await curio.spawn(work, daemon=True))
         return self
 
@@ -142,17 +147,19 @@
 
         :param failure_domain: of the caller.
         """
-        live = self.state.peers.live(self.state.clock())
-        named = [
-            (peer.failure_domain, peer.caller_address)
-            for peer in live
-            if peer.is_ready
-        ]
-        if self.state.is_ready:
-            settings = self.settings
-            named.append((settings.failure_domain, settings.caller_address))
-        named.sort(key=lambda pair: (pair[0] != failure_domain, pair[1]))
-        return [address for _, address in named[:_ADDRESSES_COUNT]]
+        peers = self.state.peers.nameable(self.state.clock())
+        routers = [self._heartbeat_facts(), *peers]
+        named = [one for one in routers if one.is_ready]
+        if not named:
+            # All routers leave at the same time; some still take requests.
+            named = [one for one in routers if one.is_accepting]
+        named.sort(
+            key=lambda one: (
+                one.failure_domain != failure_domain,
+                one.caller_address,
+            )
+        )
+        return [one.caller_address for one in named[:_ADDRESSES_COUNT]]
 
     def note_source(self, document: str) -> None:
         """Note that the source of a document has answered."""
@@ -186,6 +193,8 @@
                 last_seconds,
             )
         )
+        self.state.is_accepting = False
+        await self._beat()
         await self._callers.stop_accepting()
         remaining = last_seconds - (self.state.clock() - started_seconds)
         await curio.ignore_after(max(0, remaining), self._callers.drain)
@@ -253,10 +262,26 @@
             self._heartbeats.send(datagram, address)
 
     def _heartbeat(self, now_seconds: float) -> Heartbeat:
-        settings = self.settings
+        state = self.state
         self._sequence += 1
-        live = self.state.peers.live(now_seconds)
+        live = state.peers.live(now_seconds)
         addresses = [peer.heartbeat_address for peer in live]
+        return replace(
+            self._heartbeat_facts(),
+            sequence=self._sequence,
+            snapshot_versions=self.shelf.versions(),
+            loads=state.board.own,
+            usages=state.shares.own,
+            sent_prompts=state.take_sent_prompts(),
+            refused=state.refused.take_news(now_seconds),
+            crashes=self._crashes.take_reports(),
+            is_source_seen=state.is_source_seen(now_seconds),
+            known_addresses=tuple(addresses[:_HEARTBEAT_ADDRESSES_COUNT]),
+        )
+
+    def _heartbeat_facts(self) -> Heartbeat:
+        """Return who and where this router is."""
+        settings = self.settings
         return Heartbeat(
             router=settings.router_id,
             incarnation=self._incarnation,
@@ -266,14 +291,9 @@
             control_address=settings.control_address,
             heartbeat_address=settings.heartbeat_address,
             is_ready=self.state.is_ready,
-            snapshot_versions=self.shelf.versions(),
-            loads=self.state.board.own,
-            usages=self.state.shares.own,
-            sent_prompts=self.state.take_sent_prompts(),
-            refused=self.state.refused.take_news(now_seconds),
-            crashes=self._crashes.take_reports(),
-            is_source_seen=self.state.is_source_seen(now_seconds),
-            known_addresses=tuple(addresses[:_HEARTBEAT_ADDRESSES_COUNT]),
+            is_accepting=self.state.is_accepting,
+            snapshot_versions={},
+            loads={},
         )
 
     async def _keep_up(self) -> None:
@@ -300,6 +320,7 @@
             )
             self._live_routers = routers
         metrics = state.metrics
+        metrics.loop_lag_seconds.set(state.lag.seconds)
         metrics.live_routers.set(len(routers) + 1)
         for name, version in self.shelf.versions().items():
             metrics.snapshot_version.labels(name).set(version)
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -92,7 +92,8 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether the record passes; add the omitted count."""
-        kind: object = getattr(record, 'decision', record.msg)
+        # Messages of libraries may contain ids, so they are no kinds.
+        kind: object = getattr(record, 'decision', record.name)
         window = self._windows.setdefault(kind, _Window())
         now_seconds = self._clock()
         if now_seconds - window.starts_seconds >= _SECOND:
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -77,6 +77,7 @@
             for sent in heartbeat.sent_prompts
         ],
         heartbeat.refused,
+        heartbeat.is_accepting,
     ]
     return json.dumps(document, separators=(',', ':')).encode()
 
@@ -128,6 +129,7 @@
         },
         sent_prompts=tuple(_decode_sent(row) for row in document[14]),
         refused=tuple((str(name), float(age)) for name, age in document[15]),
+        is_accepting=bool(document[16]),
     )
 
 
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -87,6 +87,12 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.loop_lag_seconds = Gauge(
+            'loop_lag_seconds',
+            'How far the process is behind its own events.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.log_lines_dropped = Gauge(
             'log_lines_dropped',
             'Log lines that a slow reader did not take.',
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -54,6 +54,8 @@
 # Longest time a target may get beyond which it would outlive its caller.
 _DEFAULT_DEADLINE_SECONDS: Final = 30.0
 _OUTPUT_TOKEN_WEIGHT: Final = 2
+# Another router takes the request at once; this is for callers that know none.
+_BEHIND_RETRY_SECONDS: Final = 0.2
 
 
 class _Next(enum.Enum):
@@ -160,6 +162,7 @@
         """
         facts = self._handler.wire.decode_request(self.exchange.head)
         self._facts = facts
+        self._check_lag()
         route = self._find_route(facts)
         organisation = self._authenticate(route, facts)
         table = self._state.table
@@ -199,6 +202,22 @@
             ErrorKind.NOT_READY, 'this router has no routing table yet'
         )
 
+    def _check_lag(self) -> None:
+        """Send callers elsewhere while this process is behind.
+
+        A caller may keep one connection for many requests, so the connection
+        is closed with the refusal.
+        """
+        lag = self._state.lag
+        if not lag.is_behind:
+            return
+        self.exchange.close_after_response()
+        raise DotterelhatchError(
+            ErrorKind.NOT_READY,
+            f'this router is {lag.seconds:.2f} s behind',
+            retry_after_seconds=_BEHIND_RETRY_SECONDS,
+        )
+
     def _find_route(self, facts: RequestFacts) -> RouteRule:
         table = self._state.table
         if table is None:
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -23,6 +23,7 @@
 from dotterelhatch.core.shares import ShareMeter
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.gateway.decisions import Decision, log_decision
+from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
 from dotterelhatch.ids import ServiceId
@@ -75,7 +76,9 @@
             rng,
         )
         self.allowance = RepeatAllowance(_allowance_settings(settings))
+        self.lag = LoopLag()
         self.is_leaving = False
+        self.is_accepting = True
         self.sources_seen: dict[str, float] = {}
 
     @property
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -170,6 +170,10 @@
         await self._connection.send_event(h11.EndOfMessage())
         self._ended = True
 
+    def close_after_response(self) -> None:
+        """Say ``Connection: close`` in the response."""
+        self._connection.must_close = True
+
     def abort(self) -> None:
         """Break the connection without the end of the body."""
         self._ended = True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -55,6 +55,18 @@
     assert record.omitted_count == 500 - served  # type: ignore[attr-defined]
 
 
+def test_messages_with_ids_are_bounded_too() -> None:
+    """Guards against a library that writes a line of its own per request."""
+    budget = BudgetFilter(lambda: 0.0)
+    passed = sum(
+        budget.filter(
+            logging.LogRecord('curio', 30, '', 0, f'task {one}', (), None)
+        )
+        for one in range(500)
+    )
+    assert passed < 100
+
+
 def test_lines_are_json_with_the_facts_beside_the_event() -> None:
     """Guards against facts that a log search can't reach."""
     reading, writing = os.pipe()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -282,6 +282,32 @@
     assert response.body == EVENTS
 
 
+@run_async
+async def test_a_router_that_is_behind_sends_callers_elsewhere() -> None:
+    """Load pattern: one caller sends all its requests on one connection."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        fixture.gateway.state.lag.note(60)
+        response = await fixture.call('/lookup/1')
+        assert response.status == 503
+        assert response.header('Connection') == 'close'
+        assert not fixture.runs
+        await _until(lambda: not fixture.gateway.state.lag.is_behind)
+        assert (await fixture.call('/lookup/1')).status == 200
+
+
+@run_async
+async def test_a_leaving_router_is_named_while_there_is_no_other() -> None:
+    """Guards against callers without an address in a quick rolling restart."""
+    async with open_gateway((PLAIN, ServedStandIn('i-1'))) as fixture:
+        gateway = fixture.gateway
+        own = [gateway.settings.caller_address]
+        task = await curio.spawn(gateway.leave)
+        await _until(lambda: gateway.state.is_leaving)
+        assert gateway.caller_addresses('konya') == own
+        await task.join()
+        assert gateway.caller_addresses('konya') == []
+
+
 async def _send_and_keep(fixture: GatewayFixture, path: str) -> SocketStream:
     stream = await SocketStream.connect(
         fixture.gateway.settings.caller_address, 5
--- a/tests/test_peer_board.py
+++ b/tests/test_peer_board.py
@@ -36,6 +36,7 @@
     control_address=_NAMES,
     heartbeat_address=_NAMES,
     is_ready=st.booleans(),
+    is_accepting=st.booleans(),
     snapshot_versions=st.dictionaries(_NAMES, _COUNTS, max_size=3),
     loads=st.dictionaries(
         _NAMES.map(TargetId),
@@ -87,6 +88,7 @@
         'control_address': 'd',
         'heartbeat_address': 'h2',
         'is_ready': True,
+        'is_accepting': True,
         'snapshot_versions': {},
         'loads': {},
     }
@@ -125,6 +127,16 @@
     assert board.most_seen_count == 2
 
 
+def test_a_router_that_hears_nobody_names_those_it_heard_last() -> None:
+    """Guards against a cut router that draws all callers to itself."""
+    board = PeerBoard(RouterId('r1'), 'h1')
+    board.on_heartbeat(_beat(), 0)
+    board.on_heartbeat(_beat(router=RouterId('r3')), 5)
+    assert [one.router for one in board.nameable(6)] == ['r3']
+    assert [one.router for one in board.nameable(10)] == ['r2', 'r3']
+    assert not board.nameable(60)
+
+
 def test_many_peers_are_told_less_often() -> None:
     """Guards against control traffic that grows with the square."""
     assert heartbeat_interval_seconds(3) == pytest.approx(0.1)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -57,6 +57,7 @@
             f'127.0.0.1:{port}' for port in ports[:4]
         )
         self.path = folder / 'settings.toml'
+        self.log_path = folder / 'log'
         self.path.write_text(
             f"""
             node-name = "edge-1"
@@ -84,14 +85,21 @@
                 'PYTHONPATH': str(checkout / 'target/deps'),
                 'DOTTERELHATCH_CONFIG': str(self.path),
             },
-            stdout=subprocess.PIPE,
+            stdout=self.log_path.open('wb'),
             stderr=subprocess.STDOUT,
         )
 
-    async def output(self) -> str:
-        """Wait for the end of the process and return what it wrote."""
-        content, _ = await curio.run_in_thread(self.popen.communicate)
-        return str(content.decode())
+    def output(self) -> str:
+        """Return what the process has written."""
+        return self.log_path.read_text()
+
+    async def has_reloaded(self) -> bool:
+        """Return whether the process has taken a new settings file."""
+        return '"event": "reloaded"' in self.output()
+
+    async def has_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self.popen.poll() is not None
 
     async def is_ready(self) -> bool:
         """Ask whether the process is ready."""
@@ -149,9 +157,12 @@
     )
     assert response.status == 200
     assert response.body.count(b'data:') == 4
+    # Two signals that are pending at the same time have no order.
     process.popen.send_signal(signal.SIGHUP)
+    await _until(process.has_reloaded)
     process.popen.send_signal(signal.SIGTERM)
-    output = await process.output()
+    await _until(process.has_ended)
+    output = process.output()
     assert process.popen.returncode == 0, output
     for event in ('started', 'served', 'reloaded', 'leaving', 'stopped'):
         assert f'"event": "{event}"' in output
