Let a home wait for late lists of grants

Ruled out: dead routers need that limit; they leave the reporters as soon as they are dead, which takes as long. Change: the limit is 8 s. It only matters for routers that answer calls.

--- a/src/dotterelhatch/core/home.py
+++ b/src/dotterelhatch/core/home.py
@@ -34,9 +34,9 @@
 # calls of 1 s, 3 s of suspicion and one period.
 _UNLISTED_AFTER_SECONDS: Final = 6.0
 # A new home grants when all routers have reported the grants that they hold
-# for the target. A router that does not answer must not keep the slots idle
-# for longer than it takes to be dead: 3 s of suspicion and one period.
-_SETTLE_SECONDS: Final = 4.0
+# for the target, or is dead. The limit is for a router that answers calls but
+# whose lists do not arrive: several lists in a row may be late by seconds.
+_SETTLE_SECONDS: Final = 8.0
 # A copy of a request that has just crashed a target must not be granted
 # before its entry router has heard of the crash.
 _REPORT_SPREAD_SECONDS: Final = 2.0
