--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -37,7 +37,6 @@
     REFUSED = 'refused'
     ATTEMPT_FAILED = 'attempt_failed'
     RETRIED = 'retried'
-    RESUMED = 'resumed'
     SERVED = 'served'
     FAILED = 'failed'
     CALLER_LEFT = 'caller_left'
--- /dev/null
+++ b/tests/test_gateway_docs.py
@@ -0,0 +1,44 @@
+"""The operators' page and the alerts agree with the gateway."""
+
+import re
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+from ruamel.yaml import YAML
+
+from dotterelhatch.gateway.decisions import Decision
+from dotterelhatch.gateway.metrics import GatewayMetrics
+
+DOCS = Path(__file__).parent.parent / 'docs'
+
+
+def test_alert_rules_of_the_gateway_use_existing_series() -> None:
+    """Guards against alerts on renamed metrics."""
+    metrics = GatewayMetrics()
+    metrics.requests.labels('served', 'answered').inc()
+    metrics.source_up.labels('op').set(1)
+    metrics.snapshot_version.labels('op').set(1)
+    names = {
+        sample.name
+        for family in text_string_to_metric_families(metrics.render().decode())
+        for sample in family.samples
+    }
+    groups = YAML(typ='safe').load(DOCS / 'alerts.yaml')['groups']
+    rules = next(
+        group['rules']
+        for group in groups
+        if group['name'] == 'dotterelhatch-gateway'
+    )
+    assert rules
+    for rule in rules:
+        for name in re.findall(r'dotterelhatch_gateway_\w+', rule['expr']):
+            assert name in names, rule['alert']
+
+
+def test_every_event_of_the_log_is_explained() -> None:
+    """Guards against lines that the operators' page does not know."""
+    page = (DOCS / 'OPERATIONS.md').read_text(encoding='utf-8')
+    unexplained = [
+        one.value for one in Decision if f'`{one.value}`' not in page
+    ]
+    assert not unexplained
