Emulate engines and callers on a virtual clock

Change: emulator/ drives the decision classes of the gateway and a baseline (fewest requests of the router, no refusals) with load patterns held as data; a command prints a table and draws a plot. Tests replay the patterns.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint check soak bench lock proto format
+.PHONY: setup demo test lint check soak emulate bench lock proto format
 
 setup: $(VENV)/.done
 
@@ -20,7 +20,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 src tests standins demo benchmarks scripts
+	$(BIN)/flake8 src tests standins demo benchmarks scripts emulator
 	$(BIN)/mypy
 	$(BIN)/lint-imports --no-cache
 
@@ -30,6 +30,9 @@
 soak: setup
 	$(BIN)/python -m pytest tests -m soak -s
 
+emulate: setup
+	$(BIN)/python -m emulator
+
 bench: setup
 	$(BIN)/python -m benchmarks.fleet
 
--- /dev/null
+++ b/emulator/engine.py
@@ -0,0 +1,122 @@
+"""A model engine that reads prompts in chunks beside running requests."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import Final
+
+__all__ = ('Engine', 'EngineRequest')
+
+# From the sheet of the engines.
+STEP_SECONDS: Final = 0.00309
+STEP_PER_SLOT_SECONDS: Final = 0.000102
+READ_TOKENS_PER_SECOND: Final = 56_900.0
+FIRST_SECONDS: Final = 0.013
+CHUNK_TOKENS: Final = 1024
+SLOTS_COUNT: Final = 64
+MEMORY_TOKENS: Final = 289_119
+
+
+@dataclass
+class EngineRequest:
+    """A request at an engine.
+
+    :param parts: ids and tokens of its prompt, in order.
+    :param first_seconds: when its first token was made, None before.
+    """
+
+    parts: tuple[tuple[str, int], ...]
+    output_tokens: int
+    unread_tokens: int = 0
+    made_tokens: int = 0
+    first_seconds: float | None = None
+    end_seconds: float | None = None
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that the request occupies at its end."""
+        return sum(tokens for _, tokens in self.parts) + self.output_tokens
+
+
+@dataclass
+class Engine:
+    """Admits requests in order of arrival and advances step by step.
+
+    :param slowness: factor on every step.
+    """
+
+    slowness: float = 1.0
+    now_seconds: float = 0.0
+    waiting: deque[EngineRequest] = field(default_factory=deque)
+    running: list[EngineRequest] = field(default_factory=list)
+    read_tokens: int = 0
+    _kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    def submit(self, request: EngineRequest, now_seconds: float) -> None:
+        """Add a request."""
+        if not self.waiting and not self.running:
+            self.now_seconds = max(self.now_seconds, now_seconds)
+        self.waiting.append(request)
+
+    def advance(self, until_seconds: float) -> None:
+        """Run steps until a time, or until nothing is left to do."""
+        while self.now_seconds < until_seconds:
+            self._admit()
+            if not self.running:
+                self.now_seconds = until_seconds
+                return
+            self._step()
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < SLOTS_COUNT:
+            request = self.waiting[0]
+            used = sum(one.memory_tokens for one in self.running)
+            if used + request.memory_tokens > MEMORY_TOKENS:
+                return
+            self.waiting.popleft()
+            request.unread_tokens = self._count_unread(request)
+            self.running.append(request)
+
+    def _count_unread(self, request: EngineRequest) -> int:
+        total = sum(tokens for _, tokens in request.parts)
+        chain = ''
+        for name, tokens in request.parts:
+            chain = f'{chain}/{name}'
+            if chain not in self._kept:
+                break
+            total -= tokens
+        return total
+
+    def _step(self) -> None:
+        budget = CHUNK_TOKENS
+        seconds = STEP_SECONDS + STEP_PER_SLOT_SECONDS * len(self.running)
+        for request in self.running:
+            taken = min(budget, request.unread_tokens)
+            request.unread_tokens -= taken
+            budget -= taken
+        read = CHUNK_TOKENS - budget
+        self.read_tokens += read
+        seconds += read / READ_TOKENS_PER_SECOND
+        self.now_seconds += seconds * self.slowness
+        for request in tuple(self.running):
+            if not request.unread_tokens:
+                self._generate(request)
+
+    def _generate(self, request: EngineRequest) -> None:
+        if request.first_seconds is None:
+            request.first_seconds = self.now_seconds + FIRST_SECONDS
+            self._keep(request)
+        request.made_tokens += 1
+        if request.made_tokens >= request.output_tokens:
+            request.end_seconds = self.now_seconds
+            self.running.remove(request)
+
+    def _keep(self, request: EngineRequest) -> None:
+        chain = ''
+        for name, tokens in request.parts:
+            chain = f'{chain}/{name}'
+            self._kept.pop(chain, None)
+            self._kept[chain] = tokens
+        used = sum(one.memory_tokens for one in self.running)
+        total = sum(self._kept.values())
+        while self._kept and total > MEMORY_TOKENS - used:
+            total -= self._kept.popitem(last=False)[1]
--- /dev/null
+++ b/emulator/router.py
@@ -0,0 +1,258 @@
+"""Policies of a router: the product's decisions, and a baseline."""
+
+import random
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from dotterelhatch.core.admission import AdmissionWindow, Claim
+from dotterelhatch.core.balancer import (
+    Balancer,
+    BalancerSettings,
+    Demand,
+    Placement,
+)
+from dotterelhatch.core.load import Flight, LoadBoard, TargetLoad
+from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
+from dotterelhatch.core.registry import (
+    TargetEntry,
+    TargetRegistry,
+    TargetState,
+)
+from dotterelhatch.core.routes import (
+    EngineSpec,
+    RouteKind,
+    RouteRule,
+    ServiceShare,
+    ServiceSpec,
+)
+from dotterelhatch.core.shares import ShareMeter
+from dotterelhatch.core.targethealth import AttemptOutcome, TargetHealth
+from dotterelhatch.ids import (
+    FailureDomain,
+    OrganisationId,
+    RouterId,
+    ServiceId,
+    TargetId,
+)
+from emulator.engine import MEMORY_TOKENS, SLOTS_COUNT
+from emulator.patterns import KINDS, Kind
+
+__all__ = ('POLICIES', 'Offer', 'Policy')
+
+_SERVICE: Final = ServiceSpec(
+    ServiceId('usta-model'), EngineSpec(SLOTS_COUNT, MEMORY_TOKENS)
+)
+_SHORTEST_SECONDS: Final = min(kind.objective_seconds for kind in KINDS)
+_OUTPUT_WEIGHT: Final = 2
+
+
+class Offer:
+    """A request as a router sees it.
+
+    :param age_seconds: since it was sent first.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        organisation: str,
+        parts: tuple[tuple[str, int], ...],
+        age_seconds: float,
+    ) -> None:
+        """Keep the parts."""
+        self.kind = kind
+        self.organisation = OrganisationId(organisation)
+        self.age_seconds = age_seconds
+        self.prompt = Prompt(
+            tuple(PromptPart(name, tokens) for name, tokens in parts),
+            sum(tokens for _, tokens in parts),
+            kind.output_tokens,
+        )
+
+    @property
+    def tokens(self) -> int:
+        """Return what organisations are compared by."""
+        prompt = self.prompt
+        return prompt.input_tokens + _OUTPUT_WEIGHT * prompt.max_output_tokens
+
+
+class Policy(Protocol):
+    """What a router decides."""
+
+    name: RouterId
+
+    def choose(self, offer: Offer, now_seconds: float) -> int | None:
+        """Return the index of an engine, None to refuse."""
+
+    def exchange(self, others: list['Policy'], now_seconds: float) -> None:
+        """Tell the other routers what they need to know."""
+
+    def on_first(self, ticket: int, now_seconds: float) -> None:
+        """Note the first event of a request."""
+
+    def on_end(self, ticket: int, now_seconds: float) -> None:
+        """Note the end of a request."""
+
+
+POLICIES: Final[dict[str, Callable[..., 'Policy']]] = {}
+
+
+def _policy(
+    name: str,
+) -> Callable[[Callable[..., 'Policy']], Callable[..., 'Policy']]:
+    """Register a policy."""
+
+    def register(make: Callable[..., 'Policy']) -> Callable[..., 'Policy']:
+        POLICIES[name] = make
+        return make
+
+    return register
+
+
+@_policy('least-requests')
+class LeastRequests:
+    """Fewest requests of this router first; refuses only at full slots."""
+
+    def __init__(
+        self, name: str, engines_count: int, rng: random.Random
+    ) -> None:
+        """Start without requests."""
+        self.name = RouterId(name)
+        self._counts = [0] * engines_count
+        self._engine_of: list[int] = []
+        self._rng = rng
+
+    def choose(self, offer: Offer, now_seconds: float) -> int | None:
+        """Return the engine with the fewest requests."""
+        least = min(self._counts)
+        engine = self._rng.choice(
+            [one for one, count in enumerate(self._counts) if count == least]
+        )
+        self._counts[engine] += 1
+        self._engine_of.append(engine)
+        return engine
+
+    def exchange(self, others: list[Policy], now_seconds: float) -> None:
+        """Tell nothing."""
+
+    def on_first(self, ticket: int, now_seconds: float) -> None:
+        """Do nothing."""
+
+    def on_end(self, ticket: int, now_seconds: float) -> None:
+        """Count the request no more."""
+        self._counts[self._engine_of[ticket]] -= 1
+
+
+@_policy('gateway')
+class GatewayPolicy:
+    """The decision classes of the gateway."""
+
+    def __init__(
+        self, name: str, engines_count: int, rng: random.Random
+    ) -> None:
+        """List the engines."""
+        self.name = RouterId(name)
+        domain = FailureDomain('konya')
+        registry = TargetRegistry()
+        registry.apply([_entry(one, domain) for one in range(engines_count)], 0)
+        self._board = LoadBoard()
+        self._health = TargetHealth()
+        self._shares = ShareMeter(4.0)
+        self._window = AdmissionWindow()
+        self._balancer = Balancer(
+            BalancerSettings(domain), registry, self._board, self._health, rng
+        )
+        self._flights: list[tuple[Flight, Placement]] = []
+        self._sent: list[SentPrompt] = []
+
+    def choose(self, offer: Offer, now_seconds: float) -> int | None:
+        """Return what the balancer chooses."""
+        if not offer.age_seconds:
+            self._shares.on_asked(offer.organisation, offer.tokens, now_seconds)
+        chosen = self._balancer.place(
+            self._demand(offer, now_seconds), (), now_seconds
+        )
+        placed = isinstance(chosen, Placement)
+        if not offer.age_seconds:
+            self._window.add(offer.kind.name, now_seconds, admitted=placed)
+        if not isinstance(chosen, Placement):
+            return None
+        target = chosen.entry.id
+        flight = self._board.start(target, chosen.load, now_seconds)
+        self._health.on_sent(target, now_seconds)
+        self._flights.append((flight, chosen))
+        sent = SentPrompt(target, offer.prompt.parts, chosen.spare_tokens)
+        self._balancer.cache.on_sent(sent)
+        self._sent.append(sent)
+        self._shares.on_begun(offer.organisation, offer.tokens, now_seconds)
+        return int(target.removeprefix('m'))
+
+    def exchange(self, others: list[Policy], now_seconds: float) -> None:
+        """Do what a heartbeat does."""
+        loads: dict[TargetId, TargetLoad] = dict(self._board.own)
+        usages = dict(self._shares.own)
+        for other in others:
+            if isinstance(other, GatewayPolicy):
+                other._board.on_report(self.name, loads, now_seconds)
+                other._shares.on_report(self.name, usages, now_seconds)
+                for sent in self._sent:
+                    other._balancer.cache.on_sent(sent)
+        self._sent.clear()
+
+    def on_first(self, ticket: int, now_seconds: float) -> None:
+        """Note the time to the first event."""
+        flight, placed = self._flights[ticket]
+        flight.on_first_event()
+        self._health.on_heard(flight.target, now_seconds)
+        self._health.on_timed(
+            flight.target,
+            placed.expected_seconds,
+            now_seconds - flight.started_seconds,
+        )
+
+    def on_end(self, ticket: int, now_seconds: float) -> None:
+        """End the load of the request."""
+        flight, _ = self._flights[ticket]
+        flight.end()
+        self._health.on_ended(
+            flight.target, AttemptOutcome.ANSWERED, now_seconds
+        )
+
+    def _demand(self, offer: Offer, now_seconds: float) -> Demand:
+        kind = offer.kind
+        return Demand(
+            route=_route(kind),
+            service=_SERVICE,
+            prompt=offer.prompt,
+            remaining_seconds=kind.deadline_seconds - offer.age_seconds,
+            shortest_objective_seconds=_SHORTEST_SECONDS,
+            claim=Claim(
+                offer.age_seconds,
+                self._shares.used_share(offer.organisation, now_seconds),
+                self._window.pressure(now_seconds),
+                self._window.kind_share(kind.name, now_seconds),
+            ),
+        )
+
+
+def _entry(index: int, domain: FailureDomain) -> TargetEntry:
+    return TargetEntry(
+        id=TargetId(f'm{index}'),
+        service=_SERVICE.id,
+        address='10.0.0.1:80',
+        failure_domain=domain,
+        state=TargetState.READY,
+        slots_count=SLOTS_COUNT,
+    )
+
+
+def _route(kind: Kind) -> RouteRule:
+    return RouteRule(
+        name=kind.name,
+        host='h',
+        path_prefix='/',
+        kind=RouteKind.STREAMING,
+        timeout_seconds=kind.deadline_seconds,
+        objective_seconds=kind.objective_seconds,
+        shares=(ServiceShare(_SERVICE.id, 1),),
+    )
