--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -33,7 +33,6 @@
     """What a line is about."""
 
     PLACED = 'placed'
-    NOT_PLACED = 'not_placed'
     REFUSED = 'refused'
     ATTEMPT_FAILED = 'attempt_failed'
     RETRIED = 'retried'
@@ -56,9 +55,8 @@
 # Served requests are the bulk and the least needed; refusals and failures are
 # what people ask about.
 _BUDGETS: Final[dict[object, int]] = {
-    Decision.PLACED: 300,
-    Decision.NOT_PLACED: 600,
-    Decision.SERVED: 30,
+    Decision.PLACED: 40,
+    Decision.SERVED: 40,
     Decision.REFUSED: 120,
     Decision.FAILED: 120,
     Decision.ATTEMPT_FAILED: 120,
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -103,7 +103,6 @@
 
     async def __call__(self, exchange: ServerExchange) -> None:
         """Answer one request."""
-        request_id = exchange.head.header(self.wire.request_id_header)
         run = _RequestRun(self, exchange)
         try:
             await run.serve()
@@ -111,13 +110,10 @@
             run.note(Decision.CALLER_LEFT, 'caller_left', detail=str(error))
             raise
         except DotterelhatchError as error:
-            await self._answer_error(run, error, request_id)
+            await self._answer_error(run, error)
 
     async def _answer_error(
-        self,
-        run: '_RequestRun',
-        error: DotterelhatchError,
-        request_id: str | None,
+        self, run: '_RequestRun', error: DotterelhatchError
     ) -> None:
         refused = error.executed is Executed.NO
         run.note(
@@ -147,7 +143,7 @@
         self._received_seconds = handler.state.clock()
         self._facts: RequestFacts | None = None
         self._progress = _Progress(set())
-        self._service: ServiceSpec | None = None
+        self._decided_by: dict[str, Any] = {}
 
     @property
     def request_id(self) -> Any:
@@ -174,7 +170,7 @@
             raise DotterelhatchError(
                 ErrorKind.NO_TARGET, 'the service of the route is not defined'
             )
-        self._service = service
+        self._decided_by = {'service': service.id}
         work = _Work(route, service, organisation, facts, body)
         await self._attend(work)
 
@@ -186,11 +182,10 @@
             request_id=self.request_id,
             reason=reason,
             seconds=round(self._elapsed_seconds(), 4),
-            service=self._service.id if self._service else None,
             sends_count=self._progress.sends_count,
             table_version=table.version if table else None,
             is_source_current=self._state.is_source_current,
-            **facts,
+            **{**self._decided_by, **facts},
         )
         self._state.metrics.requests.labels(decision.value, reason).inc()
 
@@ -343,11 +338,7 @@
                 admitted=not isinstance(chosen, Refusal),
             )
         if isinstance(chosen, Refusal):
-            log_decision(
-                Decision.NOT_PLACED,
-                request_id=work.facts.request_id,
-                **_claim_facts(demand, work),
-            )
+            self._decided_by = _claim_facts(demand, work)
             state.refused.on_refused(work.fingerprint, self._received_seconds)
             raise self._refuse(chosen)
         log_decision(
