--- /dev/null
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -0,0 +1,439 @@
+"""Attempts of one request: admit, place, send, relay, and try again."""
+
+import enum
+from typing import Any, Final, Protocol
+
+from dotterelhatch.core.admission import Claim
+from dotterelhatch.core.balancer import Demand, Placement, Refusal
+from dotterelhatch.core.prompts import SentPrompt
+from dotterelhatch.core.retries import SuspectVerdict
+from dotterelhatch.core.targethealth import AttemptOutcome
+from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
+from dotterelhatch.fleet import ServiceLimits
+from dotterelhatch.gateway.crashes import CrashWatch
+from dotterelhatch.gateway.decisions import Decision, log_decision
+from dotterelhatch.gateway.relay import Relay, is_success
+from dotterelhatch.gateway.state import GatewayState
+from dotterelhatch.gateway.wireformat import Forwarding, WireFormat
+from dotterelhatch.gateway.work import Attempt, Progress, Work
+from dotterelhatch.net.http import ServerExchange
+from dotterelhatch.net.targets import (
+    FailureStage,
+    TargetClient,
+    TargetFailure,
+    TargetResponse,
+)
+
+__all__ = ('Attempts', 'GatewayParts', 'RequestRun')
+
+_SERVER_ERROR: Final = 500
+# A connection takes 1 ms; a lost opening packet is sent again after 1 s, and
+# by then another target has answered.
+_CONNECT_TIMEOUT_SECONDS: Final = 0.4
+# Silence of a target ends no request; the timeout of the route does.
+_NO_TIMEOUT_SECONDS: Final = 600.0
+_TARGET_LIMITS: Final = ServiceLimits(
+    connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
+    first_byte_timeout_seconds=_NO_TIMEOUT_SECONDS,
+    progress_timeout_seconds=_NO_TIMEOUT_SECONDS,
+)
+# Targets that refused a request without running it, before the request is
+# refused to its caller.
+_MAX_SENDS_COUNT: Final = 3
+_MAX_UNREACHABLE_COUNT: Final = 4
+
+
+class GatewayParts(Protocol):
+    """The parts of a gateway that requests use."""
+
+    state: GatewayState
+    wire: WireFormat
+    targets: TargetClient
+    crashes: CrashWatch
+
+
+class RequestRun(Protocol):
+    """The request that the attempts belong to."""
+
+    exchange: ServerExchange
+    received_seconds: float
+    progress: Progress
+    decided_by: dict[str, Any]
+
+    def elapsed_seconds(self) -> float:
+        """Return how long ago the request arrived."""
+
+    def note(self, decision: Decision, reason: str, **facts: Any) -> None:
+        """Log how the request ended and count it."""
+
+
+class _Next(enum.Enum):
+    """What follows an attempt."""
+
+    DONE = 'done'
+    AGAIN = 'again'
+
+
+class Attempts:
+    """Sends one request to one target after the other.
+
+    :param parts: of the gateway.
+    :param run: the request.
+    :param work: what is to be done for it.
+    """
+
+    def __init__(
+        self, parts: GatewayParts, run: RequestRun, work: Work
+    ) -> None:
+        """Start with nothing tried."""
+        self._parts = parts
+        self._state = parts.state
+        self._run = run
+        self._work = work
+
+    async def run(self) -> None:
+        """Send the request to targets until it is answered.
+
+        :raises DotterelhatchError: when it is refused or fails.
+        :raises HangupError: when the caller leaves.
+        """
+        work = self._work
+        state = self._state
+        state.allowance.on_request(work.service.id, state.clock())
+        relay = Relay(self._run.exchange, work.route, work.facts.last_event_id)
+        claim = self._claim(work)
+        table = state.table
+        following = _Next.AGAIN
+        while following is _Next.AGAIN:
+            demand = Demand(
+                route=work.route,
+                service=work.service,
+                prompt=work.facts.prompt,
+                remaining_seconds=work.limit_seconds
+                - self._run.elapsed_seconds(),
+                shortest_objective_seconds=(
+                    table.shortest_objective_seconds(work.service.id)
+                    if table
+                    else work.route.objective_seconds
+                ),
+                claim=claim,
+            )
+            placement = self._place(demand, work)
+            following = await self._attempt(placement, work, relay)
+            # What was admitted once is not refused for the load any more.
+            claim = Claim(claim.age_seconds)
+
+    def _claim(self, work: Work) -> Claim:
+        """Return what speaks for the request, and count it."""
+        state = self._state
+        age_seconds = state.refused.age_seconds(work.fingerprint, state.clock())
+        if work.organisation is None or not work.tokens:
+            return Claim(age_seconds)
+        now_seconds = state.clock()
+        window = state.admission(work.service.id)
+        if not age_seconds:
+            state.shares.on_asked(work.organisation, work.tokens, now_seconds)
+        used_share = state.shares.used_share(work.organisation, now_seconds)
+        return Claim(
+            age_seconds=age_seconds,
+            used_share=used_share,
+            pressure=window.pressure(now_seconds),
+            kind_share=window.kind_share(work.route.name, now_seconds),
+        )
+
+    def _place(self, demand: Demand, work: Work) -> Placement:
+        state = self._state
+        now_seconds = state.clock()
+        verdict = state.suspects.verdict(work.fingerprint, now_seconds)
+        if verdict is SuspectVerdict.REFUSE:
+            raise DotterelhatchError(
+                ErrorKind.REQUEST_CRASHES_TARGETS,
+                'targets crashed while they ran this request',
+            )
+        chosen = state.balancer.place(
+            demand, self._run.progress.tried, now_seconds
+        )
+        if not demand.claim.age_seconds and not self._run.progress.sends_count:
+            state.admission(work.service.id).add(
+                work.route.name,
+                now_seconds,
+                admitted=not isinstance(chosen, Refusal),
+            )
+        if isinstance(chosen, Refusal):
+            self._run.decided_by = _claim_facts(demand, work)
+            state.refused.on_refused(
+                work.fingerprint, self._run.received_seconds
+            )
+            raise self._refuse(chosen)
+        log_decision(
+            Decision.PLACED,
+            request_id=work.facts.request_id,
+            target=chosen.entry.id,
+            wait_ms=round(chosen.wait_seconds * 1000),
+            expected_ms=round(chosen.expected_seconds * 1000),
+            unread_tokens=chosen.load.unread_tokens,
+            kept_tokens=chosen.kept_tokens,
+            **_claim_facts(demand, work),
+            attempt=self._run.progress.sends_count + 1,
+            table_version=state.table.version if state.table else None,
+        )
+        return chosen
+
+    def _refuse(self, refusal: Refusal) -> DotterelhatchError:
+        if self._run.progress.runs_count:
+            return DotterelhatchError(
+                ErrorKind.TARGET_FAILED,
+                'the target failed and no other can take the request',
+                Executed.UNKNOWN,
+            )
+        no_target = refusal.reason == 'no_target'
+        detail = refusal.reason
+        if refusal.wait_seconds is not None:
+            detail = f'{detail}: predicted wait {refusal.wait_seconds:.3f} s'
+        return DotterelhatchError(
+            ErrorKind.NO_TARGET if no_target else ErrorKind.QUEUE_FULL,
+            detail,
+            retry_after_seconds=refusal.retry_after_seconds,
+        )
+
+    async def _attempt(
+        self, placement: Placement, work: Work, relay: Relay
+    ) -> _Next:
+        """Send the request to one target and relay its answer."""
+        state = self._state
+        target = placement.entry.id
+        started_seconds = state.clock()
+        flight = state.board.start(target, placement.load, started_seconds)
+        state.health.on_sent(target, started_seconds)
+        if work.facts.prompt and work.service.engine:
+            state.note_prompt(
+                SentPrompt(
+                    target, work.facts.prompt.parts, placement.spare_tokens
+                )
+            )
+        if work.organisation is not None and work.tokens:
+            state.shares.on_begun(
+                work.organisation, work.tokens, started_seconds
+            )
+        attempt = Attempt(placement, started_seconds)
+        self._run.progress.tried.add(target)
+        try:
+            following = await self._exchange(attempt, work, relay, flight)
+        except TargetFailure as failure:
+            following = await self._on_failure(attempt, work, relay, failure)
+        finally:
+            flight.end()
+            self._end_attempt(attempt, work)
+        return following
+
+    def _end_attempt(self, attempt: Attempt, work: Work) -> None:
+        state = self._state
+        target = attempt.placement.entry.id
+        outcome = attempt.outcome
+        if outcome is None:
+            state.health.on_abandoned(target)
+        else:
+            state.health.on_ended(target, outcome, state.clock())
+        state.metrics.attempts.labels(
+            work.service.id, outcome.value if outcome else 'abandoned'
+        ).inc()
+
+    async def _exchange(
+        self, attempt: Attempt, work: Work, relay: Relay, flight: Any
+    ) -> _Next:
+        entry = attempt.placement.entry
+        forwarding = Forwarding(
+            target=entry.id,
+            remaining_seconds=work.limit_seconds - self._run.elapsed_seconds(),
+            organisation=work.organisation,
+            last_event_id=relay.last_event_id,
+        )
+        head = self._parts.wire.encode_request(
+            self._run.exchange.head, work.facts, forwarding
+        )
+        # Unless the connection is refused, the target may run the request.
+        self._run.progress.sends_count += 1
+        self._run.progress.runs_count += 1
+        response = await self._parts.targets.open(
+            entry.address, head, work.body, work.facts.request_id,
+            _TARGET_LIMITS,
+        )  # fmt: skip
+        async with response:
+            return await self._on_response(
+                attempt, work, relay, response, flight
+            )
+
+    async def _on_response(
+        self,
+        attempt: Attempt,
+        work: Work,
+        relay: Relay,
+        response: TargetResponse,
+        flight: Any,
+    ) -> _Next:
+        state = self._state
+        wire = self._parts.wire
+        target = attempt.placement.entry.id
+        state.health.on_heard(target, state.clock())
+        if wire.is_not_executed(response.status, response.headers):
+            self._run.progress.runs_count -= 1
+            attempt.outcome = AttemptOutcome.SHED
+            if wire.is_other_instance(response.status):
+                state.registry.mark_replaced(target)
+            await response.read_all()
+            return self._after_shed(attempt, work, response)
+        if work.route.is_stream and is_success(response.status):
+            await self._relay_stream(attempt, work, relay, response, flight)
+        else:
+            body = await response.read_all()
+            failed = response.status >= _SERVER_ERROR
+            attempt.outcome = (
+                AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
+            )
+            if failed and self._may_repeat(work):
+                return self._again(work, attempt, 'server_error')
+            state.balancer.on_plain_answered(
+                state.clock() - attempt.started_seconds
+            )
+            await relay.send_whole(response, body)
+        self._on_served(attempt, work, response.status)
+        return _Next.DONE
+
+    def _on_served(self, attempt: Attempt, work: Work, status: int) -> None:
+        state = self._state
+        elapsed_seconds = self._run.elapsed_seconds()
+        metrics = state.metrics
+        service = work.service.id
+        metrics.response_seconds.labels(service).observe(elapsed_seconds)
+        first = attempt.first_event_seconds or state.clock()
+        metrics.first_event_seconds.labels(service).observe(
+            first - self._run.received_seconds
+        )
+        self._run.note(
+            Decision.SERVED,
+            'answered',
+            status=status,
+            target=attempt.placement.entry.id,
+            first_event_ms=round((first - self._run.received_seconds) * 1000),
+        )
+        state.suspects.on_completed(work.fingerprint, state.clock())
+
+    async def _relay_stream(
+        self,
+        attempt: Attempt,
+        work: Work,
+        relay: Relay,
+        response: TargetResponse,
+        flight: Any,
+    ) -> None:
+        state = self._state
+        target = attempt.placement.entry.id
+
+        def on_chunk() -> None:  # noqa: WPS430
+            now_seconds = state.clock()
+            state.health.on_heard(target, now_seconds)
+            if attempt.first_event_seconds is None:
+                attempt.first_event_seconds = now_seconds
+                flight.on_first_event()
+                state.health.on_timed(
+                    target,
+                    attempt.placement.expected_seconds,
+                    now_seconds - attempt.started_seconds,
+                )
+
+        await relay.stream(response, on_chunk)
+        attempt.outcome = AttemptOutcome.ANSWERED
+
+    def _after_shed(
+        self, attempt: Attempt, work: Work, response: TargetResponse
+    ) -> _Next:
+        sends_left = self._run.progress.sends_count < _MAX_SENDS_COUNT
+        if sends_left and self._spend_repeat(work):
+            return self._again(work, attempt, f'shed with {response.status}')
+        raise self._refuse(
+            Refusal('shed by targets', self._state.rng.uniform(0.3, 1.0))
+        )
+
+    def _again(self, work: Work, attempt: Attempt, reason: str) -> _Next:
+        log_decision(
+            Decision.RETRIED,
+            request_id=work.facts.request_id,
+            target=attempt.placement.entry.id,
+            reason=reason,
+            sends_count=self._run.progress.sends_count,
+        )
+        return _Next.AGAIN
+
+    def _may_repeat(self, work: Work) -> bool:
+        attempts_left = self._run.progress.runs_count < min(
+            work.route.max_attempts_count, _MAX_SENDS_COUNT
+        )
+        if not (work.route.is_repeatable and attempts_left):
+            return False
+        return self._spend_repeat(work)
+
+    def _spend_repeat(self, work: Work) -> bool:
+        state = self._state
+        return state.allowance.try_spend(
+            work.service.id, state.clock(), state.routers_count()
+        )
+
+    async def _on_failure(
+        self,
+        attempt: Attempt,
+        work: Work,
+        relay: Relay,
+        failure: TargetFailure,
+    ) -> _Next:
+        entry = attempt.placement.entry
+        unsent = failure.stage is FailureStage.NOT_SENT
+        attempt.outcome = (
+            AttemptOutcome.UNREACHABLE if unsent else AttemptOutcome.BROKEN
+        )
+        log_decision(
+            Decision.ATTEMPT_FAILED,
+            request_id=work.facts.request_id,
+            target=entry.id,
+            address=entry.address,
+            stage=failure.stage.value,
+            reason=failure.reason.value,
+            detail=failure.detail,
+            sends_count=self._run.progress.sends_count,
+        )
+        if unsent:
+            return self._after_unreachable(work, relay)
+        await self._parts.crashes.on_broken(entry, work.fingerprint)
+        if self._may_repeat(work):
+            relay.prepare_resume()
+            return self._again(work, attempt, failure.reason.value)
+        raise DotterelhatchError(
+            ErrorKind.TARGET_FAILED,
+            f'the target broke off: {failure.reason.value}',
+            Executed.UNKNOWN,
+        ) from failure
+
+    def _after_unreachable(self, work: Work, relay: Relay) -> _Next:
+        """Go on to another target; nothing was sent, so nothing repeats."""
+        progress = self._run.progress
+        progress.sends_count -= 1
+        progress.runs_count -= 1
+        progress.unreachable_count += 1
+        if progress.unreachable_count < _MAX_UNREACHABLE_COUNT:
+            return _Next.AGAIN
+        raise self._refuse(Refusal('no_target', self._state.rng.random()))
+
+
+def _claim_facts(demand: Demand, work: Work) -> dict[str, Any]:
+    """Return what the admission of a request was decided by."""
+    claim = demand.claim
+    return {
+        'service': work.service.id,
+        'organisation': work.organisation,
+        'tokens': work.tokens,
+        'used_share': round(claim.used_share, 2),
+        'age_ms': round(claim.age_seconds * 1000),
+        'deadline_ms': round((work.facts.deadline_seconds or 0) * 1000),
+        'route': work.route.name,
+        'pressure': round(claim.pressure, 2),
+        'kind_share': round(claim.kind_share, 2),
+    }
