Pass on the only answer there is; avoid targets that let requests time out

Causes, found by reading: an idempotent request whose only target failed was refused with 502 in place of the target's own answer; a target that went dark counted as usable again as soon as its last request had timed out; times of failed model requests went into the mean of plain requests. Change: a repeat needs another target; a request that ends without any byte after a second pauses its target. Parameters that every method passed on are attributes now.

--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -41,6 +41,9 @@
 # refused to its caller.
 _MAX_SENDS_COUNT: Final = 3
 _MAX_UNREACHABLE_COUNT: Final = 4
+# Requests are sent only where they begin within their objective, which is
+# half a second or less; without an answer for twice that the target is silent.
+_SILENCE_SECONDS: Final = 1.0
 
 
 class GatewayParts(Protocol):
@@ -101,7 +104,7 @@
         state = self._state
         state.allowance.on_request(work.service.id, state.clock())
         relay = Relay(self._run.exchange, work.route, work.facts.last_event_id)
-        claim = self._claim(work)
+        claim = self._claim()
         table = state.table
         following = _Next.AGAIN
         while following is _Next.AGAIN:
@@ -118,33 +121,39 @@
                 ),
                 claim=claim,
             )
-            placement = self._place(demand, work)
-            following = await self._attempt(placement, work, relay)
+            placement = self._place(demand)
+            following = await self._attempt(placement, relay)
             # What was admitted once is not refused for the load any more.
             claim = Claim(claim.age_seconds)
 
-    def _claim(self, work: Work) -> Claim:
+    def _claim(self) -> Claim:
         """Return what speaks for the request, and count it."""
         state = self._state
-        age_seconds = state.refused.age_seconds(work.fingerprint, state.clock())
-        if work.organisation is None or not work.tokens:
+        age_seconds = state.refused.age_seconds(
+            self._work.fingerprint, state.clock()
+        )
+        if self._work.organisation is None or not self._work.tokens:
             return Claim(age_seconds)
         now_seconds = state.clock()
-        window = state.admission(work.service.id)
+        window = state.admission(self._work.service.id)
         if not age_seconds:
-            state.shares.on_asked(work.organisation, work.tokens, now_seconds)
-        used_share = state.shares.used_share(work.organisation, now_seconds)
+            state.shares.on_asked(
+                self._work.organisation, self._work.tokens, now_seconds
+            )
+        used_share = state.shares.used_share(
+            self._work.organisation, now_seconds
+        )
         return Claim(
             age_seconds=age_seconds,
             used_share=used_share,
             pressure=window.pressure(now_seconds),
-            kind_share=window.kind_share(work.route.name, now_seconds),
+            kind_share=window.kind_share(self._work.route.name, now_seconds),
         )
 
-    def _place(self, demand: Demand, work: Work) -> Placement:
+    def _place(self, demand: Demand) -> Placement:
         state = self._state
         now_seconds = state.clock()
-        verdict = state.suspects.verdict(work.fingerprint, now_seconds)
+        verdict = state.suspects.verdict(self._work.fingerprint, now_seconds)
         if verdict is SuspectVerdict.REFUSE:
             raise DotterelhatchError(
                 ErrorKind.REQUEST_CRASHES_TARGETS,
@@ -154,26 +163,26 @@
             demand, self._run.progress.tried, now_seconds
         )
         if not demand.claim.age_seconds and not self._run.progress.sends_count:
-            state.admission(work.service.id).add(
-                work.route.name,
+            state.admission(self._work.service.id).add(
+                self._work.route.name,
                 now_seconds,
                 admitted=not isinstance(chosen, Refusal),
             )
         if isinstance(chosen, Refusal):
-            self._run.decided_by = _claim_facts(demand, work)
+            self._run.decided_by = _claim_facts(demand, self._work)
             state.refused.on_refused(
-                work.fingerprint, self._run.received_seconds
+                self._work.fingerprint, self._run.received_seconds
             )
             raise self._refuse(chosen)
         log_decision(
             Decision.PLACED,
-            request_id=work.facts.request_id,
+            request_id=self._work.facts.request_id,
             target=chosen.entry.id,
             wait_ms=round(chosen.wait_seconds * 1000),
             expected_ms=round(chosen.expected_seconds * 1000),
             unread_tokens=chosen.load.unread_tokens,
             kept_tokens=chosen.kept_tokens,
-            **_claim_facts(demand, work),
+            **_claim_facts(demand, self._work),
             attempt=self._run.progress.sends_count + 1,
             table_version=state.table.version if state.table else None,
         )
@@ -196,77 +205,84 @@
             retry_after_seconds=refusal.retry_after_seconds,
         )
 
-    async def _attempt(
-        self, placement: Placement, work: Work, relay: Relay
-    ) -> _Next:
+    async def _attempt(self, placement: Placement, relay: Relay) -> _Next:
         """Send the request to one target and relay its answer."""
         state = self._state
         target = placement.entry.id
         started_seconds = state.clock()
         flight = state.board.start(target, placement.load, started_seconds)
         state.health.on_sent(target, started_seconds)
-        if work.facts.prompt and work.service.engine:
+        if self._work.facts.prompt and self._work.service.engine:
             state.note_prompt(
                 SentPrompt(
-                    target, work.facts.prompt.parts, placement.spare_tokens
+                    target,
+                    self._work.facts.prompt.parts,
+                    placement.spare_tokens,
                 )
             )
-        if work.organisation is not None and work.tokens:
+        if self._work.organisation is not None and self._work.tokens:
             state.shares.on_begun(
-                work.organisation, work.tokens, started_seconds
+                self._work.organisation, self._work.tokens, started_seconds
             )
         attempt = Attempt(placement, started_seconds)
         self._run.progress.tried.add(target)
         try:
-            following = await self._exchange(attempt, work, relay, flight)
+            following = await self._exchange(attempt, relay, flight)
         except TargetFailure as failure:
-            following = await self._on_failure(attempt, work, relay, failure)
+            following = await self._on_failure(attempt, relay, failure)
         finally:
             flight.end()
-            self._end_attempt(attempt, work)
+            self._end_attempt(attempt)
         return following
 
-    def _end_attempt(self, attempt: Attempt, work: Work) -> None:
+    def _end_attempt(self, attempt: Attempt) -> None:
         state = self._state
         target = attempt.placement.entry.id
         outcome = attempt.outcome
         if outcome is None:
             state.health.on_abandoned(target)
+            if not attempt.is_heard:
+                self._note_silence(attempt)
         else:
             state.health.on_ended(target, outcome, state.clock())
         state.metrics.attempts.labels(
-            work.service.id, outcome.value if outcome else 'abandoned'
+            self._work.service.id, outcome.value if outcome else 'abandoned'
         ).inc()
 
+    def _note_silence(self, attempt: Attempt) -> None:
+        """Avoid a target that let a request end without any answer."""
+        state = self._state
+        now_seconds = state.clock()
+        if now_seconds - attempt.started_seconds > _SILENCE_SECONDS:
+            state.health.on_silent(attempt.placement.entry.id, now_seconds)
+
     async def _exchange(
-        self, attempt: Attempt, work: Work, relay: Relay, flight: Any
+        self, attempt: Attempt, relay: Relay, flight: Any
     ) -> _Next:
         entry = attempt.placement.entry
         forwarding = Forwarding(
             target=entry.id,
-            remaining_seconds=work.limit_seconds - self._run.elapsed_seconds(),
-            organisation=work.organisation,
+            remaining_seconds=self._work.limit_seconds
+            - self._run.elapsed_seconds(),
+            organisation=self._work.organisation,
             last_event_id=relay.last_event_id,
         )
         head = self._parts.wire.encode_request(
-            self._run.exchange.head, work.facts, forwarding
+            self._run.exchange.head, self._work.facts, forwarding
         )
         # Unless the connection is refused, the target may run the request.
         self._run.progress.sends_count += 1
         self._run.progress.runs_count += 1
         response = await self._parts.targets.open(
-            entry.address, head, work.body, work.facts.request_id,
+            entry.address, head, self._work.body, self._work.facts.request_id,
             _TARGET_LIMITS,
         )  # fmt: skip
         async with response:
-            return await self._on_response(
-                attempt, work, relay, response, flight
-            )
+            return await self._on_response(attempt, relay, response, flight)
 
     async def _on_response(
         self,
         attempt: Attempt,
-        work: Work,
         relay: Relay,
         response: TargetResponse,
         flight: Any,
@@ -275,35 +291,37 @@
         wire = self._parts.wire
         target = attempt.placement.entry.id
         state.health.on_heard(target, state.clock())
+        attempt.is_heard = True
         if wire.is_not_executed(response.status, response.headers):
             self._run.progress.runs_count -= 1
             attempt.outcome = AttemptOutcome.SHED
             if wire.is_other_instance(response.status):
                 state.registry.mark_replaced(target)
             await response.read_all()
-            return self._after_shed(attempt, work, response)
-        if work.route.is_stream and is_success(response.status):
-            await self._relay_stream(attempt, work, relay, response, flight)
+            return self._after_shed(attempt, response)
+        if self._work.route.is_stream and is_success(response.status):
+            await self._relay_stream(attempt, relay, response, flight)
         else:
             body = await response.read_all()
             failed = response.status >= _SERVER_ERROR
             attempt.outcome = (
                 AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
             )
-            if failed and self._may_repeat(work):
-                return self._again(work, attempt, 'server_error')
-            state.balancer.on_plain_answered(
-                state.clock() - attempt.started_seconds
-            )
+            if failed and self._may_repeat():
+                return self._again(attempt, 'server_error')
+            if not self._work.route.is_stream:
+                state.balancer.on_plain_answered(
+                    state.clock() - attempt.started_seconds
+                )
             await relay.send_whole(response, body)
-        self._on_served(attempt, work, response.status)
+        self._on_served(attempt, response.status)
         return _Next.DONE
 
-    def _on_served(self, attempt: Attempt, work: Work, status: int) -> None:
+    def _on_served(self, attempt: Attempt, status: int) -> None:
         state = self._state
         elapsed_seconds = self._run.elapsed_seconds()
         metrics = state.metrics
-        service = work.service.id
+        service = self._work.service.id
         metrics.response_seconds.labels(service).observe(elapsed_seconds)
         first = attempt.first_event_seconds or state.clock()
         metrics.first_event_seconds.labels(service).observe(
@@ -316,12 +334,11 @@
             target=attempt.placement.entry.id,
             first_event_ms=round((first - self._run.received_seconds) * 1000),
         )
-        state.suspects.on_completed(work.fingerprint, state.clock())
+        state.suspects.on_completed(self._work.fingerprint, state.clock())
 
     async def _relay_stream(
         self,
         attempt: Attempt,
-        work: Work,
         relay: Relay,
         response: TargetResponse,
         flight: Any,
@@ -344,44 +361,48 @@
         await relay.stream(response, on_chunk)
         attempt.outcome = AttemptOutcome.ANSWERED
 
-    def _after_shed(
-        self, attempt: Attempt, work: Work, response: TargetResponse
-    ) -> _Next:
+    def _after_shed(self, attempt: Attempt, response: TargetResponse) -> _Next:
         sends_left = self._run.progress.sends_count < _MAX_SENDS_COUNT
-        if sends_left and self._spend_repeat(work):
-            return self._again(work, attempt, f'shed with {response.status}')
+        if sends_left and self._spend_repeat():
+            return self._again(attempt, f'shed with {response.status}')
         raise self._refuse(
             Refusal('shed by targets', self._state.rng.uniform(0.3, 1.0))
         )
 
-    def _again(self, work: Work, attempt: Attempt, reason: str) -> _Next:
+    def _again(self, attempt: Attempt, reason: str) -> _Next:
         log_decision(
             Decision.RETRIED,
-            request_id=work.facts.request_id,
+            request_id=self._work.facts.request_id,
             target=attempt.placement.entry.id,
             reason=reason,
             sends_count=self._run.progress.sends_count,
         )
         return _Next.AGAIN
 
-    def _may_repeat(self, work: Work) -> bool:
+    def _may_repeat(self) -> bool:
         attempts_left = self._run.progress.runs_count < min(
-            work.route.max_attempts_count, _MAX_SENDS_COUNT
+            self._work.route.max_attempts_count, _MAX_SENDS_COUNT
         )
-        if not (work.route.is_repeatable and attempts_left):
+        if not (self._work.route.is_repeatable and attempts_left):
             return False
-        return self._spend_repeat(work)
+        return self._spend_repeat()
 
-    def _spend_repeat(self, work: Work) -> bool:
+    def _spend_repeat(self) -> bool:
+        """Return whether the request may go to one more target.
+
+        Without another target the answer of this one is passed on.
+        """
         state = self._state
+        ready = state.registry.ready(self._work.service.id)
+        if all(entry.id in self._run.progress.tried for entry in ready):
+            return False
         return state.allowance.try_spend(
-            work.service.id, state.clock(), state.routers_count()
+            self._work.service.id, state.clock(), state.routers_count()
         )
 
     async def _on_failure(
         self,
         attempt: Attempt,
-        work: Work,
         relay: Relay,
         failure: TargetFailure,
     ) -> _Next:
@@ -392,7 +413,7 @@
         )
         log_decision(
             Decision.ATTEMPT_FAILED,
-            request_id=work.facts.request_id,
+            request_id=self._work.facts.request_id,
             target=entry.id,
             address=entry.address,
             stage=failure.stage.value,
@@ -401,18 +422,18 @@
             sends_count=self._run.progress.sends_count,
         )
         if unsent:
-            return self._after_unreachable(work, relay)
-        await self._parts.crashes.on_broken(entry, work.fingerprint)
-        if self._may_repeat(work):
+            return self._after_unreachable()
+        await self._parts.crashes.on_broken(entry, self._work.fingerprint)
+        if self._may_repeat():
             relay.prepare_resume()
-            return self._again(work, attempt, failure.reason.value)
+            return self._again(attempt, failure.reason.value)
         raise DotterelhatchError(
             ErrorKind.TARGET_FAILED,
             f'the target broke off: {failure.reason.value}',
             Executed.UNKNOWN,
         ) from failure
 
-    def _after_unreachable(self, work: Work, relay: Relay) -> _Next:
+    def _after_unreachable(self) -> _Next:
         """Go on to another target; nothing was sent, so nothing repeats."""
         progress = self._run.progress
         progress.sends_count -= 1
--- a/src/dotterelhatch/gateway/work.py
+++ b/src/dotterelhatch/gateway/work.py
@@ -64,9 +64,13 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One request at one target."""
+    """One request at one target.
+
+    :param is_heard: whether an answer has begun.
+    """
 
     placement: Placement
     started_seconds: float
+    is_heard: bool = False
     first_event_seconds: float | None = None
     outcome: AttemptOutcome | None = None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,7 @@
 """Requests through a gateway to servers on loopback."""
 
+from dataclasses import replace
+
 import curio
 import pytest
 
@@ -150,6 +152,31 @@
     check()
 
 
+@run_async
+async def test_the_answer_of_the_only_server_is_passed_on() -> None:
+    """Guards against an answer that is dropped for a repeat nobody can do."""
+    server = ServedStandIn('i-1', Behaviour.FAIL)
+    async with open_gateway((PLAIN, server)) as fixture:
+        response = await fixture.call('/lookup/1')
+    assert (response.status, response.body) == (500, b'failed')
+    assert response.header('Dotterelhatch-Response-Stamp') == 'stamp-i-1'
+
+
+@run_async
+async def test_a_server_that_let_a_request_time_out_is_avoided() -> None:
+    """Load pattern: a server goes dark and its requests end one by one."""
+    table = routing_table()
+    slow = tuple(replace(one, timeout_seconds=1.1) for one in table.routes)
+    server = ServedStandIn('i-0', Behaviour.SILENT)
+    async with open_gateway(
+        (PLAIN, server), table=replace(table, routes=slow)
+    ) as fixture:
+        response = await fixture.call('/booking/1')
+        assert response.status == 504
+        state = fixture.gateway.state
+        assert not state.health.is_usable(TargetId('i-0'), state.clock())
+
+
 @run_async
 async def test_an_unreachable_server_costs_no_repeat() -> None:
     """Guards against failures while the entry of a dead server remains."""
