Test targets that break the order of answers; name ranges in errors

Causes, seen by hand before: a request with a length and chunks was accepted; a broken request line came back as a Python object; a max_tokens beyond the range of frames got an error of the codec.

--- a/src/dotterelhatch/filters/parse.py
+++ b/src/dotterelhatch/filters/parse.py
@@ -34,6 +34,9 @@
     )
 )
 _KEY_MAX_LENGTH: Final = 128
+# No engine of the sheets holds as many tokens; costs stay far below the range
+# of the numbers in frames.
+_MOST_TOKENS: Final = 10_000_000
 _CHARACTERS_PER_TOKEN: Final = 4
 _PROMPT_TOKEN_UNITS: Final = 0.25
 
@@ -52,7 +55,7 @@
     model: str
     prompt: str | Sequence[str] = ''
     messages: Sequence[_Message] = ()
-    max_tokens: int | None = Field(default=None, ge=1)
+    max_tokens: int | None = Field(default=None, ge=1, le=_MOST_TOKENS)
     stream: bool = False
 
     @property
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -386,7 +386,9 @@
                 ErrorKind.HEADERS_TOO_LARGE,
                 f'the request head exceeds {limit_bytes} bytes',
             )
-        return DotterelhatchError(ErrorKind.BAD_REQUEST, str(error))
+        # The library shows the bytes of a broken line as a Python object.
+        detail = str(error).partition(': bytearray(')[0]
+        return DotterelhatchError(ErrorKind.BAD_REQUEST, detail)
 
     def _skip_buffered_body(self) -> None:
         with contextlib.suppress(DotterelhatchError, HangupError):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -470,3 +470,37 @@
         stream.close()
 
     curio.run(main)
+
+
+def test_a_length_and_chunks_together_are_refused() -> None:
+    """Guards against a second request that is smuggled in the body."""
+    handled: list[str] = []
+
+    async def handler(exchange: ServerExchange) -> None:
+        handled.append(exchange.head.path)
+        await echo(exchange)
+
+    async def test(server: HttpServer, address: str) -> None:
+        stream = await dial(
+            address,
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+            b'GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n',
+        )
+        answer = await read_all(stream)
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        assert answer.count(b'HTTP/1.1') == 1
+
+    serve(test, handler)
+    assert not handled
+
+
+def test_a_broken_request_line_is_described_in_words() -> None:
+    """Guards against Python objects in messages to callers."""
+
+    async def test(server: HttpServer, address: str) -> None:
+        answer = await read_all(await dial(address, b'GE(T / HTTP/1.1\r\n\r\n'))
+        document = json.loads(answer.partition(b'\r\n\r\n')[2])
+        assert document['detail'] == 'illegal request line'
+
+    serve(test)
