Name the organisation in rejections of a saturated router

Cause: a router that is behind its own events rejected requests before their route and organisation were known, with the reason of a router that has no routing table. Neither the line nor a metric told whose requests saturate the router, who pays for it, or whether their demand is in the fair shares.

Change: the route and the key are looked up first; an unknown key or path is now answered as such. The decision line has the route, organisation, tokens and loop lag. Counters by organisation: organisation_requests_total by outcome and reason, and organisation_tokens_total, what the fair shares count as asked and begun. Which requests are rejected does not change.

--- a/src/dotterelhatch/core/prompts.py
+++ b/src/dotterelhatch/core/prompts.py
@@ -3,11 +3,15 @@
 import itertools
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Final
 
 from dotterelhatch.ids import TargetId
 
 __all__ = ('PrefixCacheEstimate', 'Prompt', 'PromptPart', 'SentPrompt')
 
+# A generated token takes about twice the time of a prompt token.
+_OUTPUT_TOKEN_WEIGHT: Final = 2
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -38,6 +42,11 @@
         """Return the parts that other requests may have in common."""
         return self.parts[:-1]
 
+    @property
+    def usage_tokens(self) -> int:
+        """Return the usage by which organisations are compared."""
+        return self.input_tokens + _OUTPUT_TOKEN_WEIGHT * self.max_output_tokens
+
     @property
     def affinity_key(self) -> str:
         """Return a key that requests with the same shared parts have."""
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -168,8 +168,8 @@
         now_seconds = state.clock()
         window = state.admission_window(self._routed.service.id)
         if not age_seconds:
-            state.fair_shares.on_arrived(
-                self._routed.organisation, self._routed.tokens, now_seconds
+            state.count_asked_tokens(
+                self._routed.organisation, self._routed.tokens
             )
         fair_share_ratio = state.fair_shares.fair_share_ratio(
             self._routed.organisation, now_seconds
@@ -265,8 +265,8 @@
                 )
             )
         if self._routed.organisation is not None and self._routed.tokens:
-            state.fair_shares.on_placed(
-                self._routed.organisation, self._routed.tokens, started_seconds
+            state.count_begun_tokens(
+                self._routed.organisation, self._routed.tokens
             )
         attempt = Attempt(placement, started_seconds)
         self._request.history.tried_targets.add(target)
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -37,6 +37,20 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.organisation_requests = Counter(
+            'organisation_requests',
+            'Requests of each organisation by how they ended.',
+            ('organisation', 'outcome', 'reason'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.organisation_tokens = Counter(
+            'organisation_tokens',
+            'Tokens of each organisation as counted for its fair share.',
+            ('organisation', 'event'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.attempts = Counter(
             'attempts',
             'Requests sent to targets by how they ended.',
--- a/src/dotterelhatch/gateway/request_records.py
+++ b/src/dotterelhatch/gateway/request_records.py
@@ -15,7 +15,6 @@
 
 # Used when the caller sends no deadline.
 _DEFAULT_DEADLINE_SECONDS: Final = 30.0
-_OUTPUT_TOKEN_WEIGHT: Final = 2
 
 
 class RoutedRequest:
@@ -43,14 +42,7 @@
         self.body = body
         deadline = metadata.deadline_seconds or _DEFAULT_DEADLINE_SECONDS
         self.limit_seconds = min(deadline, route.timeout_seconds)
-        # Usage by which organisations are compared. A generated token takes
-        # about twice the time of a prompt token.
-        self.tokens = 0
-        if metadata.prompt is not None:
-            self.tokens = metadata.prompt.input_tokens
-            self.tokens += (
-                _OUTPUT_TOKEN_WEIGHT * metadata.prompt.max_output_tokens
-            )
+        self.tokens = metadata.usage_tokens
         # The fingerprint ignores the request ID, so that a caller's retry
         # under a new ID is recognised.
         key = f'{metadata.api_key}\0{metadata.host}{metadata.path}\0'
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -89,6 +89,7 @@
         self._state = handler.state
         self.received_seconds = handler.state.clock()
         self._metadata: RequestMetadata | None = None
+        self._organisation: OrganisationId | None = None
         self.history = AttemptHistory(set())
         self.decision_facts: dict[str, Any] = {}
 
@@ -105,9 +106,10 @@
         """
         metadata = self._handler.wire.decode_request(self.exchange.head)
         self._metadata = metadata
-        self._reject_if_overloaded()
         route = self._find_route(metadata)
         organisation = self._authenticate(route, metadata)
+        self._organisation = organisation
+        self._reject_if_overloaded(route, metadata)
         table = self._state.table
         if table is None:
             raise self._not_ready_error()
@@ -134,7 +136,12 @@
             is_source_current=self._state.is_source_current,
             **{**self.decision_facts, **facts},
         )
-        self._state.metrics.requests.labels(decision.value, reason).inc()
+        metrics = self._state.metrics
+        metrics.requests.labels(decision.value, reason).inc()
+        if self._organisation is not None:
+            metrics.organisation_requests.labels(
+                self._organisation, decision.value, reason
+            ).inc()
 
     def elapsed_seconds(self) -> float:
         """Return the time since the request arrived."""
@@ -145,7 +152,9 @@
             ErrorKind.NOT_READY, 'this router has no routing table yet'
         )
 
-    def _reject_if_overloaded(self) -> None:
+    def _reject_if_overloaded(
+        self, route: RouteRule, metadata: RequestMetadata
+    ) -> None:
         """Reject the request while the event loop lags.
 
         A caller may reuse one connection for many requests, so the connection
@@ -155,8 +164,14 @@
         if not loop_lag.is_overloaded:
             return
         self.exchange.close_after_response()
+        self.decision_facts = {
+            'route': route.name,
+            'organisation': self._organisation,
+            'tokens': metadata.usage_tokens,
+            'loop_lag_ms': round(loop_lag.seconds * 1000),
+        }
         raise DotterelhatchError(
-            ErrorKind.NOT_READY,
+            ErrorKind.ROUTER_OVERLOADED,
             f'this router is overloaded: loop lag {loop_lag.seconds:.2f} s',
             retry_after_seconds=_OVERLOAD_RETRY_AFTER_SECONDS,
         )
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -27,7 +27,7 @@
 from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
-from dotterelhatch.ids import RouterId, ServiceId
+from dotterelhatch.ids import OrganisationId, RouterId, ServiceId
 
 __all__ = ('GatewayState',)
 
@@ -135,6 +135,24 @@
         """Return the admission window of a service."""
         return self.admission_windows.setdefault(service, AdmissionWindow())
 
+    def count_asked_tokens(
+        self, organisation: OrganisationId, tokens: int
+    ) -> None:
+        """Count the first arrival of a request for the fair shares."""
+        self.fair_shares.on_arrived(organisation, tokens, self.clock())
+        self.metrics.organisation_tokens.labels(organisation, 'asked').inc(
+            tokens
+        )
+
+    def count_begun_tokens(
+        self, organisation: OrganisationId, tokens: int
+    ) -> None:
+        """Count a request that is placed on a target for the fair shares."""
+        self.fair_shares.on_placed(organisation, tokens, self.clock())
+        self.metrics.organisation_tokens.labels(organisation, 'begun').inc(
+            tokens
+        )
+
     def record_sent_prompt(self, sent: SentPrompt) -> None:
         """Record a prompt sent to a target, also for the next heartbeat."""
         self.balancer.cache.on_sent(sent)
--- a/src/dotterelhatch/gateway/wireformat.py
+++ b/src/dotterelhatch/gateway/wireformat.py
@@ -29,6 +29,11 @@
     prompt: Prompt | None
     last_event_id: str | None
 
+    @property
+    def usage_tokens(self) -> int:
+        """Return the usage of the engines, 0 for a request without prompt."""
+        return self.prompt.usage_tokens if self.prompt else 0
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardingMetadata:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,10 @@
 """Requests through a gateway to stand-in servers on loopback."""
 
+import contextlib
+import logging
+from collections.abc import Iterator
 from dataclasses import replace
+from typing import Any
 
 import curio
 import pytest
@@ -406,6 +410,31 @@
         assert (await fixture.call('/lookup/1')).status == 200
 
 
+@run_async
+async def test_a_rejection_for_overload_names_the_organisation() -> None:
+    """Guards against rejections that no log or metric can attribute.
+
+    A saturated router rejected requests with the reason of a router without
+    a routing table, and without the organisation.
+    """
+    async with open_gateway((MODEL, ServerStandIn('i-1'))) as fixture:
+        state = fixture.gateway.state
+        state.loop_lag.record(60)
+        with _captured_decisions() as lines:
+            assert (await fixture.stream('/draft/1')).status == 503
+    facts = lines[-1]
+    assert facts['reason'] == 'router_overloaded'
+    assert facts['organisation'] == 'usta-kazim'
+    assert facts['tokens'] == 1060
+    assert facts['loop_lag_ms'] > 1000
+    sample = (
+        'dotterelhatch_gateway_organisation_requests_total{'
+        'organisation="usta-kazim",outcome="refused",'
+        'reason="router_overloaded"} 1.0'
+    )
+    assert sample in state.metrics.render().decode().splitlines()
+
+
 @run_async
 async def test_a_leaving_router_is_listed_while_there_is_no_other() -> None:
     """Guards against an empty address list in a quick rolling restart.
@@ -422,6 +451,27 @@
         assert gateway.caller_addresses('konya') == []
 
 
+@contextlib.contextmanager
+def _captured_decisions() -> Iterator[list[dict[str, Any]]]:
+    """Collect the facts of the decision lines that are written meanwhile."""
+    lines: list[dict[str, Any]] = []
+
+    class _Collector(logging.Handler):
+        def emit(self, record: logging.LogRecord) -> None:
+            lines.append(vars(record)['facts'])
+
+    logger = logging.getLogger('dotterelhatch.decisions')
+    collector = _Collector()
+    level = logger.level
+    logger.addHandler(collector)
+    logger.setLevel(logging.INFO)
+    try:
+        yield lines
+    finally:
+        logger.removeHandler(collector)
+        logger.setLevel(level)
+
+
 async def _send_and_keep(fixture: GatewayFixture, path: str) -> SocketStream:
     stream = await SocketStream.connect(
         fixture.gateway.settings.caller_address, 5
