Reject by organisation at a router whose processor is saturated

Cause: the first decision about a request, made while the event loop lags by more than 0.2 s, did not know the organisation. It rejected everything until the lag was gone and then admitted everything. The rejected tokens were missing from the demand that all routers compute their fair shares from.

Change: core.shedding limits the admitted requests of the router. Everything is rejected only beyond a lag of 1 s, when responses would be late anyway. What is rejected counts as asked.

--- a/src/dotterelhatch/gateway/lag.py
+++ b/src/dotterelhatch/gateway/lag.py
@@ -8,9 +8,9 @@
 __all__ = ('LoopLag',)
 
 _SAMPLE_INTERVAL_SECONDS: Final = 0.05
-# A request that waited this long in the socket has used a large part of its
-# objective, and its caller may have disconnected.
-_OVERLOAD_LAG_SECONDS: Final = 0.2
+# A request that waited this long in the socket has missed its objective, and
+# its caller may have disconnected.
+_OVERLOAD_LAG_SECONDS: Final = 1.0
 # Weight of a sample below the current value, so that the process counts as
 # overloaded for a few more samples after it has caught up.
 _RECOVERY_WEIGHT: Final = 0.3
@@ -29,7 +29,7 @@
 
     @property
     def is_overloaded(self) -> bool:
-        """Return whether callers should use other routers."""
+        """Return whether no response of this router would be in time."""
         return self.seconds > _OVERLOAD_LAG_SECONDS
 
     async def measure_forever(self) -> None:
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -155,15 +155,26 @@
     def _reject_if_overloaded(
         self, route: RouteRule, metadata: RequestMetadata
     ) -> None:
-        """Reject the request while the event loop lags.
+        """Reject the request if the processor is saturated.
+
+        The organisations that send most are rejected first. Their tokens count
+        as demand nevertheless: the fair shares are those of the fleet.
 
         A caller may reuse one connection for many requests, so the connection
         is closed to make the caller connect to another router.
         """
-        loop_lag = self._state.loop_lag
-        if not loop_lag.is_overloaded:
+        state = self._state
+        loop_lag = state.loop_lag
+        is_within_share = state.load_shedder.admits(
+            self._organisation, loop_lag.seconds, state.clock()
+        )
+        if is_within_share and not loop_lag.is_overloaded:
             return
         self.exchange.close_after_response()
+        if self._organisation is not None and metadata.usage_tokens:
+            # Retries are recognised by their body, which has not been read, so
+            # they count again. Demand above the share does not change it.
+            state.count_asked_tokens(self._organisation, metadata.usage_tokens)
         self.decision_facts = {
             'route': route.name,
             'organisation': self._organisation,
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -22,6 +22,7 @@
 from dotterelhatch.core.rejections import RejectedRequests
 from dotterelhatch.core.retries import CrashSuspects
 from dotterelhatch.core.routes import RoutingTable
+from dotterelhatch.core.shedding import LoadShedder
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.lag import LoopLag
@@ -81,6 +82,7 @@
         )
         self.retry_budget = FleetRetryBudget(_retry_budget_settings(settings))
         self.loop_lag = LoopLag()
+        self.load_shedder = LoadShedder()
         self.arrivals = ArrivalRate()
         self.is_leaving = False
         self.is_accepting = True
