Continue a stream whose event has no end at another target

What callers saw: a resumable stream ends in the middle when one server sends an event without end, although another server could continue it; the log has a traceback of an internal error.

Cause: the limit of an event, 1 MiB, raised an exception that neither way of serving treats as a failure of the target.

Ruled out: a stream that breaks off; it was continued before.

Change: both relays report it as a failed response with the reason 'oversized', so the retry rules of the route apply. The body is read without an asynchronous generator, which curio can't finalise when its consumer fails.

Figures: the test failed before with an incomplete response; it gets all events now.

--- a/src/dotterelhatch/filters/relay.py
+++ b/src/dotterelhatch/filters/relay.py
@@ -12,7 +12,7 @@
 from dotterelhatch.filters.pipeline import RequestContext
 from dotterelhatch.fleet import ServiceKind
 from dotterelhatch.net.http import Response, end_to_end_headers
-from dotterelhatch.net.sse import EventSplitter, ServerEvent
+from dotterelhatch.net.sse import EventSplitter, EventTooLargeError, ServerEvent
 from dotterelhatch.net.targets import (
     FailureReason,
     FailureStage,
@@ -129,7 +129,7 @@
         )
 
     def _count_events(self, body: bytes) -> None:
-        events = EventSplitter().feed(body)
+        events = _split(EventSplitter(), body)
         for event in events[:-1]:
             self._count_event(event)
         if not events or events[-1].data != _END_MARKER:
@@ -152,7 +152,7 @@
         end: ServerEvent | None = None
         while part := await response.read_chunk():
             relayed = bytearray()
-            for event in splitter.feed(part):
+            for event in _split(splitter, part):
                 if event.data == _END_MARKER:
                     # Relayed only once the target has ended the response, so
                     # that an incomplete stream never has an end marker.
@@ -220,6 +220,15 @@
         return (*kept, ('X-Request-Id', self._context.request_id))
 
 
+def _split(splitter: EventSplitter, content: bytes) -> list[ServerEvent]:
+    try:
+        return splitter.feed(content)
+    except EventTooLargeError as error:
+        raise TargetFailure(
+            FailureStage.ANSWERING, FailureReason.OVERSIZED, str(error)
+        ) from error
+
+
 def _find_header(response: TargetResponse, name: str) -> str:
     for known, value in response.headers:
         if known.lower() == name:
--- a/src/dotterelhatch/gateway/relay.py
+++ b/src/dotterelhatch/gateway/relay.py
@@ -8,8 +8,13 @@
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.net.http import ServerExchange
 from dotterelhatch.net.httptypes import Headers, Response, end_to_end_headers
-from dotterelhatch.net.sse import EventSplitter
-from dotterelhatch.net.targets import TargetResponse
+from dotterelhatch.net.sse import EventSplitter, EventTooLargeError, ServerEvent
+from dotterelhatch.net.targets import (
+    FailureReason,
+    FailureStage,
+    TargetFailure,
+    TargetResponse,
+)
 
 __all__ = ('Relay', 'is_success')
 
@@ -79,7 +84,7 @@
         :raises TargetFailure: when the target fails before the end.
         :raises DisconnectError: when the caller disconnects.
         """
-        async for chunk in response.chunks():
+        while chunk := await response.read_chunk():
             on_chunk()
             content = self._complete_events(chunk)
             if content:
@@ -96,13 +101,21 @@
     def _complete_events(self, chunk: bytes) -> bytes:
         if not self._is_resumable:
             return chunk
-        events = self._splitter.feed(chunk)
+        events = self._split(chunk)
         for event in events:
             found = _EVENT_ID.search(event.raw)
             if found:
                 self.last_event_id = found.group(1).decode('latin-1')
         return b''.join(complete_event.raw for complete_event in events)
 
+    def _split(self, chunk: bytes) -> list[ServerEvent]:
+        try:
+            return self._splitter.feed(chunk)
+        except EventTooLargeError as error:
+            raise TargetFailure(
+                FailureStage.ANSWERING, FailureReason.OVERSIZED, str(error)
+            ) from error
+
     async def _send(self, response: TargetResponse, content: bytes) -> None:
         if self.has_started:
             await self._exchange.send_chunk(content)
--- a/standins/server.py
+++ b/standins/server.py
@@ -16,12 +16,14 @@
 class ServerBehaviour(enum.Enum):
     """How a server responds to requests.
 
-    SHED: rejects them without executing them. OTHER_INSTANCE: responds 421 as
-    another instance does. SILENT: executes them and sends no response.
+    SHED: rejects them without executing them. ENDLESS_EVENT: an event of a stream has no end.
+    OTHER_INSTANCE: responds 421 as another instance does. SILENT: executes
+    them and sends no response.
     """
 
     SERVE = 'serve'
     SHED = 'shed'
+    ENDLESS_EVENT = 'endless_event'
     FAIL = 'fail'
     BREAK_BEFORE_ANSWER = 'break_before_answer'
     BREAK_AFTER_EVENTS = 'break_after_events'
@@ -111,5 +113,13 @@
                 exchange.abort()
                 return
             await exchange.send_chunk(event)
+            if self.behaviour is ServerBehaviour.ENDLESS_EVENT:
+                await _send_endlessly(exchange)
             await curio.sleep(self.event_seconds)
         await exchange.end_stream()
+
+
+async def _send_endlessly(exchange: ServerExchange) -> None:
+    """Send parts of a line until the router closes the connection."""
+    while True:
+        await exchange.send_chunk(b'x' * 65_536)
--- a/tests/saturated_router.py
+++ b/tests/saturated_router.py
@@ -8,7 +8,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -85,14 +85,17 @@
     status = SERVED_STATUS
     headers = ()
 
+    def __init__(self) -> None:
+        self._remaining = [b'', b'data: 1\n\n']
+
     async def __aenter__(self) -> '_TargetResponse':
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Release nothing."""
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        yield b'data: 1\n\n'
+    async def read_chunk(self) -> bytes:
+        return self._remaining.pop()
 
 
 class _Targets:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dotterelhatch.core.registry import TargetState
+from dotterelhatch.core.targethealth import AttemptOutcome
 from dotterelhatch.ids import TargetId
 from dotterelhatch.net.http import ResponseLostError
 from dotterelhatch.net.stream import SocketStream
@@ -435,6 +436,26 @@
     assert sample in state.metrics.render().decode().splitlines()
 
 
+@run_async
+async def test_an_event_without_end_is_requested_again() -> None:
+    """Guards against a stream that fails because one server has a fault.
+
+    A resumable stream continues at another server, after the last event that
+    was complete.
+    """
+    faulty = ServerStandIn('i-1', behaviour=ServerBehaviour.ENDLESS_EVENT)
+    async with open_gateway(
+        (MODEL, faulty), (MODEL, ServerStandIn('i-2'))
+    ) as fixture:
+        fixture.gateway.state.health.on_ended(
+            TargetId('i-2'), AttemptOutcome.FAILED, 0
+        )
+        response = await fixture.stream('/advice/1')
+    assert faulty.executed_ids == ['r1']
+    assert response.status == 200
+    assert response.body == EVENTS
+
+
 @run_async
 async def test_a_leaving_router_is_listed_while_there_is_no_other() -> None:
     """Guards against an empty address list in a quick rolling restart.
