Do not wait for the body of a rejection by a target

What callers saw: a request that a target rejected without executing it is answered with 504, which promises nothing, when the body of the rejection does not end. It could have been sent again or rejected at once.

Cause: the whole body was read before the rejection was acted on, only to keep the connection.

Ruled out: the bound on bodies; it ends endless bytes, but not a body that stalls, and its failure hides that the request was not executed.

Change: the head decides. The body is read for 0.1 s at most; if it has not ended by then, the connection is closed.

--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -1,8 +1,11 @@
 """Admission, placement, sending and retries of one request."""
 
+import contextlib
 import enum
 from typing import Any, Final, Protocol
 
+import curio
+
 from dotterelhatch.core.admission import AdmissionFactors
 from dotterelhatch.core.balancer import Placement, PlacementRequest, Rejection
 from dotterelhatch.core.prompts import SentPrompt
@@ -45,6 +48,8 @@
 # the request is rejected.
 _MAX_SENDS_COUNT: Final = 3
 _MAX_UNREACHABLE_COUNT: Final = 4
+# The body of a rejection is short and sent together with its head.
+_DISCARD_TIMEOUT_SECONDS: Final = 0.1
 # Requests are placed only on targets that are expected to start them within
 # the objective of the route, which is 0.5 s or less. A target without a
 # response after twice that time counts as unresponsive.
@@ -342,7 +347,7 @@
             attempt.outcome = AttemptOutcome.SHED
             if wire.is_misdirected(response.status):
                 state.registry.mark_replaced(target)
-            await response.read_all()
+            await _discard_body(response)
             return self._after_shed(attempt, response)
         if self._routed.route.is_stream and is_success(response.status):
             await self._relay_stream(attempt, relay, response, in_flight)
@@ -503,6 +508,15 @@
         )
 
 
+async def _discard_body(response: TargetResponse) -> None:
+    """Read a body that is not used, so that its connection can be reused.
+
+    A connection on which the body does not end soon is closed.
+    """
+    with contextlib.suppress(TargetFailure):
+        await curio.ignore_after(_DISCARD_TIMEOUT_SECONDS, response.read_all)
+
+
 def _admission_facts(
     placement_request: PlacementRequest, routed: RoutedRequest
 ) -> dict[str, Any]:
--- a/standins/server.py
+++ b/standins/server.py
@@ -16,13 +16,15 @@
 class ServerBehaviour(enum.Enum):
     """How a server responds to requests.
 
-    SHED: rejects them without executing them. ENDLESS_EVENT: an event of a stream has no end.
+    SHED: rejects them without executing them. SHED_ENDLESSLY: as SHED, with a
+    body without end. ENDLESS_EVENT: an event of a stream has no end.
     OTHER_INSTANCE: responds 421 as another instance does. SILENT: executes
     them and sends no response.
     """
 
     SERVE = 'serve'
     SHED = 'shed'
+    SHED_ENDLESSLY = 'shed_endlessly'
     ENDLESS_EVENT = 'endless_event'
     FAIL = 'fail'
     BREAK_BEFORE_ANSWER = 'break_before_answer'
@@ -64,6 +66,11 @@
         if self.behaviour is ServerBehaviour.SHED:
             rejection = (echoed[0], (f'{_PREFIX}Not-Executed', '1'))
             await exchange.send(Response(503, rejection, b''))
+        elif self.behaviour is ServerBehaviour.SHED_ENDLESSLY:
+            await exchange.start_stream(
+                503, (echoed[0], (f'{_PREFIX}Not-Executed', '1'))
+            )
+            await _send_endlessly(exchange)
         elif self.behaviour is ServerBehaviour.OTHER_INSTANCE:
             await exchange.send(Response(421, echoed[:1], b''))
         else:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -456,6 +456,16 @@
     assert response.body == EVENTS
 
 
+@run_async
+async def test_a_rejection_without_end_is_a_rejection() -> None:
+    """Guards against a rejection that waits for the end of an unused body."""
+    faulty = ServerStandIn('i-1', behaviour=ServerBehaviour.SHED_ENDLESSLY)
+    async with open_gateway((PLAIN, faulty)) as fixture:
+        response = await fixture.call('/booking/1')
+    assert response.status in {429, 503}
+    assert not fixture.runs
+
+
 @run_async
 async def test_a_leaving_router_is_listed_while_there_is_no_other() -> None:
     """Guards against an empty address list in a quick rolling restart.
