Share plain services between organisations under overload

What callers saw: while one organisation floods a plain service, the bookings and lookups of all others are rejected as often as the flood.

Cause: the same class of fault as at a router whose processor is saturated. The queue of a plain service was limited without regard to the organisation; the fair shares covered model engines only.

Ruled out: the processor of the router. In the model of the test, 415 requests a second arrive at six slots of 60 ms and the event loop does not lag.

Change: the usage of each plain service is counted in requests. Under overload the part of the queue that an organisation may use falls above its max-min fair share, as the wait at an engine does. Heartbeats report the usage of a plain service while it rejects requests.

--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -33,6 +33,7 @@
     'AdmissionCounts',
     'AdmissionFactors',
     'AdmissionWindow',
+    'share_limit_factor',
     'wait_limit_seconds',
 )
 
@@ -69,8 +70,8 @@
     """State of a request and of its service that the wait limit depends on.
 
     :param age_seconds: time since its caller sent it for the first time.
-    :param fair_share_ratio: tokens that its organisation received, relative
-        to its max-min fair share.
+    :param fair_share_ratio: usage of its organisation relative to its max-min
+        fair share.
     :param rejection_rate: recent share of requests of the service that were
         rejected.
     :param route_admission_ratio: recent admission rate of its route, relative
@@ -123,14 +124,22 @@
             slack_seconds, shortest_objective_seconds * _MAX_WAIT_SHARE
         )
     limit = _interpolate(relaxed, strict, factors.strictness)
-    limit *= _interpolate(
-        1.0, _share_factor(factors.fair_share_ratio), factors.overload_level
-    )
+    limit *= share_limit_factor(factors)
     return limit * _route_factor(
         factors.route_admission_ratio, factors.strictness
     )
 
 
+def share_limit_factor(factors: AdmissionFactors) -> float:
+    """Return the part of a wait limit that an organisation may use.
+
+    Under overload it falls for organisations above their fair share.
+    """
+    return _interpolate(
+        1.0, _share_factor(factors.fair_share_ratio), factors.overload_level
+    )
+
+
 def _interpolate(relaxed: float, strict: float, weight: float) -> float:
     return relaxed + (strict - relaxed) * weight
 
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -13,7 +13,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from dotterelhatch.core.admission import AdmissionFactors, wait_limit_seconds
+from dotterelhatch.core.admission import (
+    AdmissionFactors,
+    share_limit_factor,
+    wait_limit_seconds,
+)
 from dotterelhatch.core.candidates import PREFERRED_COUNT, CandidateSelector
 from dotterelhatch.core.load import LoadTracker, TargetLoad
 from dotterelhatch.core.prompts import PrefixCacheEstimate, Prompt
@@ -227,6 +231,7 @@
         )
         placement = best.placement
         queue_seconds = self._plain_seconds * _MAX_PLAIN_QUEUE_FACTOR
+        queue_seconds *= share_limit_factor(request.factors)
         limit_seconds = min(queue_seconds, request.remaining_seconds)
         if placement.wait_seconds > limit_seconds:
             return self._reject(placement.wait_seconds, limit_seconds)
--- a/src/dotterelhatch/core/fairshare.py
+++ b/src/dotterelhatch/core/fairshare.py
@@ -1,4 +1,8 @@
-"""Max-min fair shares of the organisations over a sliding window."""
+"""Max-min fair shares of the organisations over a sliding window.
+
+Usage is counted in tokens for model engines. A request to a plain service, one
+without engines, counts as one token.
+"""
 
 import math
 from collections import deque
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -48,6 +48,7 @@
     """Local counts of a router within its sliding windows.
 
     :param usages: tokens requested and placed, by organisation.
+    :param plain_usages: the same for plain services that reject requests.
     :param admissions: requests admitted and rejected, by service and route.
     :param known_addresses: heartbeat addresses of live peers.
     """
@@ -57,6 +58,9 @@
         default_factory=dict
     )
     known_addresses: tuple[str, ...] = ()
+    plain_usages: Mapping[ServiceId, Mapping[OrganisationId, Usage]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -174,11 +174,13 @@
         window = state.admission_window(self._routed.service.id)
         if not age_seconds:
             state.count_asked_tokens(
-                self._routed.organisation, self._routed.tokens
+                self._routed.service,
+                self._routed.organisation,
+                self._routed.tokens,
             )
-        fair_share_ratio = state.fair_shares.fair_share_ratio(
-            self._routed.organisation, now_seconds
-        )
+        fair_share_ratio = state.fair_share_tracker(
+            self._routed.service
+        ).fair_share_ratio(self._routed.organisation, now_seconds)
         return AdmissionFactors(
             age_seconds=age_seconds,
             fair_share_ratio=fair_share_ratio,
@@ -271,7 +273,9 @@
             )
         if self._routed.organisation is not None and self._routed.tokens:
             state.count_begun_tokens(
-                self._routed.organisation, self._routed.tokens
+                self._routed.service,
+                self._routed.organisation,
+                self._routed.tokens,
             )
         attempt = Attempt(placement, started_seconds)
         self._request.history.tried_targets.add(target)
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -329,6 +329,7 @@
                 for service, window in state.admission_windows.items()
             },
             known_addresses=addresses[:_MAX_HEARTBEAT_ADDRESSES_COUNT],
+            plain_usages=state.contended_plain_usages(),
         )
 
     def _identity_heartbeat(self) -> Heartbeat:
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -34,6 +34,9 @@
 # Limit of memory for a malformed datagram: several times the size of a
 # heartbeat in a fleet of 400 routers and 5,000 targets.
 _MAX_DECOMPRESSED_BYTES: Final = 1_000_000
+# Fields that routers may not know yet. The dictionary omits them, so that these
+# routers can decode the heartbeat; they ignore the fields.
+_ADDED_FIELDS: Final = frozenset(('plain_usages',))
 # Every heartbeat contains the same field names. As a zlib dictionary known to
 # sender and receiver they take almost no space. All routers need the same
 # dictionary, so the order of classes and fields is part of the wire format.
@@ -50,6 +53,7 @@
         WindowTotals,
     )
     for field in fields(message_class)
+    if field.name not in _ADDED_FIELDS
 ).encode()
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(Heartbeat)
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -46,8 +46,8 @@
         )
         self.organisation_tokens = Counter(
             'organisation_tokens',
-            'Tokens of each organisation as counted for its fair share.',
-            ('organisation', 'event'),
+            'Tokens, or requests to plain services, counted for fair shares.',
+            ('service', 'organisation', 'event'),
             namespace=_NAMESPACE,
             registry=registry,
         )
--- a/src/dotterelhatch/gateway/request_records.py
+++ b/src/dotterelhatch/gateway/request_records.py
@@ -11,12 +11,17 @@
 from dotterelhatch.gateway.wireformat import RequestMetadata
 from dotterelhatch.ids import Fingerprint, OrganisationId, TargetId
 
-__all__ = ('Attempt', 'AttemptHistory', 'RoutedRequest')
+__all__ = ('Attempt', 'AttemptHistory', 'RoutedRequest', 'usage_tokens')
 
 # Used when the caller sends no deadline.
 _DEFAULT_DEADLINE_SECONDS: Final = 30.0
 
 
+def usage_tokens(service: ServiceSpec, metadata: RequestMetadata) -> int:
+    """Return the usage by which organisations are compared."""
+    return 1 if service.engine is None else metadata.usage_tokens
+
+
 class RoutedRequest:
     """A request with its route, service and body.
 
@@ -42,7 +47,7 @@
         self.body = body
         deadline = metadata.deadline_seconds or _DEFAULT_DEADLINE_SECONDS
         self.limit_seconds = min(deadline, route.timeout_seconds)
-        self.tokens = metadata.usage_tokens
+        self.tokens = usage_tokens(service, metadata)
         # The fingerprint ignores the request ID, so that a caller's retry
         # under a new ID is recognised.
         key = f'{metadata.api_key}\0{metadata.host}{metadata.path}\0'
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -4,12 +4,16 @@
 
 import curio
 
-from dotterelhatch.core.routes import RouteRule, pick_service
+from dotterelhatch.core.routes import RouteRule, ServiceSpec, pick_service
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.gateway.attempts import AttemptRunner
 from dotterelhatch.gateway.crashes import CrashProber
 from dotterelhatch.gateway.decisions import Decision, log_decision
-from dotterelhatch.gateway.request_records import AttemptHistory, RoutedRequest
+from dotterelhatch.gateway.request_records import (
+    AttemptHistory,
+    RoutedRequest,
+    usage_tokens,
+)
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import RequestMetadata, WireFormat
 from dotterelhatch.ids import OrganisationId
@@ -109,17 +113,17 @@
         route = self._find_route(metadata)
         organisation = self._authenticate(route, metadata)
         self._organisation = organisation
-        self._reject_if_overloaded(route, metadata)
         table = self._state.table
         if table is None:
             raise self._not_ready_error()
-        body = await self.exchange.read_body(table.limits.max_body_bytes)
         service = table.services.get(pick_service(route, self._state.rng))
         if service is None:
             raise DotterelhatchError(
                 ErrorKind.NO_TARGET, 'the route names an undefined service'
             )
         self.decision_facts = {'service': service.id}
+        self._reject_if_overloaded(route, service, metadata)
+        body = await self.exchange.read_body(table.limits.max_body_bytes)
         routed = RoutedRequest(route, service, organisation, metadata, body)
         await self._run_attempts(routed)
 
@@ -153,7 +157,7 @@
         )
 
     def _reject_if_overloaded(
-        self, route: RouteRule, metadata: RequestMetadata
+        self, route: RouteRule, service: ServiceSpec, metadata: RequestMetadata
     ) -> None:
         """Reject the request if the processor is saturated.
 
@@ -171,14 +175,16 @@
         if is_within_share and not loop_lag.is_overloaded:
             return
         self.exchange.close_after_response()
-        if self._organisation is not None and metadata.usage_tokens:
+        tokens = usage_tokens(service, metadata)
+        if self._organisation is not None and tokens:
             # Retries are recognised by their body, which has not been read, so
             # they count again. Demand above the share does not change it.
-            state.count_asked_tokens(self._organisation, metadata.usage_tokens)
+            state.count_asked_tokens(service, self._organisation, tokens)
         self.decision_facts = {
+            **self.decision_facts,
             'route': route.name,
             'organisation': self._organisation,
-            'tokens': metadata.usage_tokens,
+            'tokens': tokens,
             'loop_lag_ms': round(loop_lag.seconds * 1000),
         }
         raise DotterelhatchError(
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -3,13 +3,13 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from dotterelhatch.core.admission import AdmissionWindow
 from dotterelhatch.core.arrivals import ArrivalRate, exceeds_peer_rates
 from dotterelhatch.core.balancer import Balancer, BalancerSettings
-from dotterelhatch.core.fairshare import FairShareTracker
+from dotterelhatch.core.fairshare import FairShareTracker, Usage
 from dotterelhatch.core.fleetretries import FleetRetryBudget, FleetRetrySettings
 from dotterelhatch.core.load import LoadTracker
 from dotterelhatch.core.peers import PeerDirectory, WindowTotals
@@ -21,7 +21,7 @@
 )
 from dotterelhatch.core.rejections import RejectedRequests
 from dotterelhatch.core.retries import CrashSuspects
-from dotterelhatch.core.routes import RoutingTable
+from dotterelhatch.core.routes import RoutingTable, ServiceSpec
 from dotterelhatch.core.shedding import LoadShedder
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.gateway.decisions import Decision, log_decision
@@ -70,6 +70,7 @@
         self.admission_windows: dict[ServiceId, AdmissionWindow] = {}
         self.unreported_prompts: list[SentPrompt] = []
         self.fair_shares = FairShareTracker(settings.share_window_seconds)
+        self.plain_shares: dict[ServiceId, FairShareTracker] = {}
         self.peers = PeerDirectory(
             settings.router_id, settings.heartbeat_address
         )
@@ -137,23 +138,33 @@
         """Return the admission window of a service."""
         return self.admission_windows.setdefault(service, AdmissionWindow())
 
+    def fair_share_tracker(self, service: ServiceSpec) -> FairShareTracker:
+        """Return the usage of a service; all engines share one tracker."""
+        if service.engine is not None:
+            return self.fair_shares
+        return self._plain_share_tracker(service.id)
+
     def count_asked_tokens(
-        self, organisation: OrganisationId, tokens: int
+        self, service: ServiceSpec, organisation: OrganisationId, tokens: int
     ) -> None:
         """Count the first arrival of a request for the fair shares."""
-        self.fair_shares.on_arrived(organisation, tokens, self.clock())
-        self.metrics.organisation_tokens.labels(organisation, 'asked').inc(
-            tokens
+        self.fair_share_tracker(service).on_arrived(
+            organisation, tokens, self.clock()
         )
+        self.metrics.organisation_tokens.labels(
+            service.id, organisation, 'asked'
+        ).inc(tokens)
 
     def count_begun_tokens(
-        self, organisation: OrganisationId, tokens: int
+        self, service: ServiceSpec, organisation: OrganisationId, tokens: int
     ) -> None:
         """Count a request that is placed on a target for the fair shares."""
-        self.fair_shares.on_placed(organisation, tokens, self.clock())
-        self.metrics.organisation_tokens.labels(organisation, 'begun').inc(
-            tokens
+        self.fair_share_tracker(service).on_placed(
+            organisation, tokens, self.clock()
         )
+        self.metrics.organisation_tokens.labels(
+            service.id, organisation, 'begun'
+        ).inc(tokens)
 
     def record_sent_prompt(self, sent: SentPrompt) -> None:
         """Record a prompt sent to a target, also for the next heartbeat."""
@@ -170,11 +181,31 @@
         """Apply the window totals of a peer."""
         now_seconds = self.clock()
         self.fair_shares.on_report(router, totals.usages, now_seconds)
+        for plain_service, usages in totals.plain_usages.items():
+            self._plain_share_tracker(plain_service).on_report(
+                router, usages, now_seconds
+            )
         for service, counts in totals.admissions.items():
             self.admission_window(service).on_report(
                 router, counts, now_seconds
             )
 
+    def contended_plain_usages(
+        self,
+    ) -> dict[ServiceId, Mapping[OrganisationId, Usage]]:
+        """Return the local usage of plain services that reject requests."""
+        now_seconds = self.clock()
+        return {
+            service: tracker.local_usages
+            for service, tracker in self.plain_shares.items()
+            if self.admission_window(service).rejection_rate(now_seconds) > 0
+        }
+
+    def _plain_share_tracker(self, service: ServiceId) -> FairShareTracker:
+        return self.plain_shares.setdefault(
+            service, FairShareTracker(self.settings.share_window_seconds)
+        )
+
     def routers_count(self) -> int:
         """Return the number of routers that share the limits of the fleet."""
         return self.peers.max_live_count
--- a/tests/saturated_router.py
+++ b/tests/saturated_router.py
@@ -1,4 +1,4 @@
-"""A gateway whose processor time per request is set by the test.
+"""A gateway whose processor and targets are slow in a way the test sets.
 
 The request handler of the gateway runs on a virtual clock, one request after
 the other, so that the result does not depend on the machine.
@@ -15,16 +15,18 @@
 import curio
 
 from dotterelhatch.core.fairshare import Usage
+from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.peers import WindowTotals
 from dotterelhatch.gateway.crashes import CrashProber
 from dotterelhatch.gateway.requests import GatewayHandler
 from dotterelhatch.gateway.state import GatewayState
-from dotterelhatch.ids import OrganisationId, RouterId
+from dotterelhatch.ids import OrganisationId, RouterId, TargetId
 from dotterelhatch.net.http import RequestHead, Response
 from dotterelhatch.platform.wire import PlatformWireFormat
 from tests.gateway_helpers import (
     HOST,
     MODEL,
+    PLAIN,
     gateway_settings,
     routing_table,
     target,
@@ -38,6 +40,10 @@
 PATIENCE_SECONDS = 1.0
 REPORT_SECONDS = 0.2
 TOKENS_COUNT = 1000
+MODEL_PATH = '/draft/1'
+PLAIN_PATH = '/booking/1'
+PLAIN_SLOTS_COUNT = 6
+PLAIN_SECONDS = 0.06
 SERVED_STATUS = 200
 
 
@@ -97,6 +103,9 @@
     async def read_chunk(self) -> bytes:
         return self._remaining.pop()
 
+    async def read_all(self) -> bytes:
+        return b'answer'
+
 
 class _Targets:
     async def open(self, *arguments: Any, **named: Any) -> _TargetResponse:
@@ -118,14 +127,19 @@
 
     :param rates: requests per second by organisation.
     :param seed: of the arrival times.
+    :param path: of the requests; determines the service.
     """
 
-    def __init__(self, rates: dict[str, float], seed: int) -> None:
+    def __init__(
+        self, rates: dict[str, float], seed: int, path: str = MODEL_PATH
+    ) -> None:
         self.now_seconds = 100.0
         self.asked: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
         self._rng = random.Random(seed)
         self._rates = rates
+        self._path = path
+        self._slots_free_seconds = [0.0] * PLAIN_SLOTS_COUNT
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], Any]]] = []
         self.state = GatewayState(
@@ -138,7 +152,9 @@
                 }
             )
         )
-        self.state.apply_targets([target(MODEL, 'i-1', 1)], None)
+        self.state.apply_targets(
+            [target(MODEL, 'i-1', 1), target(PLAIN, 'i-2', 2)], None
+        )
         self.state.source_response_seconds = {'op': self.now_seconds}
         self._handler = GatewayHandler(
             self.state,
@@ -215,11 +231,13 @@
             self.asked[arrival.organisation] += 1
         if self.now_seconds - arrival.seconds > PATIENCE_SECONDS:
             return
-        exchange = _Exchange(_head(arrival.organisation), arrival.body)
+        exchange = _Exchange(self._head(arrival.organisation), arrival.body)
         await self._handler(exchange)  # type: ignore[arg-type]
         if exchange.status == SERVED_STATUS:
             self.now_seconds += SERVED_SECONDS
             self.served[arrival.organisation] += 1
+            if self._path == PLAIN_PATH:
+                self._occupy_slot()
             return
         self.now_seconds += REJECTED_SECONDS
         if not arrival.is_retry:
@@ -230,17 +248,32 @@
                 )
             )
 
+    def _occupy_slot(self) -> None:
+        """Keep the request at the plain target until a slot has served it."""
+        load = TargetLoad(requests_count=1)
+        started_seconds = max(
+            self.now_seconds, heapq.heappop(self._slots_free_seconds)
+        )
+        ended_seconds = started_seconds + PLAIN_SECONDS
+        heapq.heappush(self._slots_free_seconds, ended_seconds)
+        in_flight = self.state.load_tracker.start(
+            TargetId('i-2'), load, self.now_seconds
+        )
+
+        async def end() -> None:
+            in_flight.end()
+
+        self._at(ended_seconds, end)
 
-def _head(organisation: str) -> RequestHead:
-    return RequestHead(
-        'POST',
-        '/draft/1',
-        (
+    def _head(self, organisation: str) -> RequestHead:
+        headers = [
             ('Host', HOST),
             ('Dotterelhatch-Request-Id', 'r1'),
             ('Dotterelhatch-Deadline-Ms', '4000'),
             ('Authorization', f'Bearer {organisation}'),
-            ('Dotterelhatch-Token-Counts', f'{TOKENS_COUNT - 100},50'),
-            ('Dotterelhatch-Prompt-Prefix', 'aa:600,bb:300'),
-        ),
-    )
+        ]
+        if self._path == MODEL_PATH:
+            tokens = f'{TOKENS_COUNT - 100},50'
+            headers.append(('Dotterelhatch-Token-Counts', tokens))
+            headers.append(('Dotterelhatch-Prompt-Prefix', 'aa:600,bb:300'))
+        return RequestHead('POST', self._path, tuple(headers))
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -121,6 +121,23 @@
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
 
+# Sent by a build that knows no usage of plain services.
+_EARLIER_DATAGRAM = bytes.fromhex(
+    '783f7a11a27165d1dd0d40301440e1620223fa799798a058e0ae701f94d0'
+    'b4696ca07b9845a22db735c2f9cec54ae190b1df0973b606e74cc5d0d8aa'
+    '981a2b9d60636d7edcd8ac01dc4a2a6ecd8f9ccf8f39170e7d122e63c06e'
+    '94b4b5903436dfbe4cae934e50f1b9f3787dbf756cf1ef40d279b0f87b70'
+    '032bfb84bd'
+)
+
+
+def test_heartbeat_of_an_earlier_build_is_understood() -> None:
+    """Guards against routers that are silent to each other in an upgrade."""
+    totals = decode_heartbeat(_EARLIER_DATAGRAM).totals
+    usages = {OrganisationId('o'): Usage(3, 2)}
+    assert totals == WindowTotals(usages=usages)
+
+
 @given(st.binary(max_size=40) | st.just(b'[]') | st.just(b'{"a":1}'))
 def test_invalid_datagrams_are_rejected(datagram: bytes) -> None:
     """Guards against an invalid datagram that ends the receiving task.
--- a/tests/test_router_overload.py
+++ b/tests/test_router_overload.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.saturated_router import SaturatedRouter
+from tests.saturated_router import PLAIN_PATH, SaturatedRouter
 
 # Requests per second that the best served organisation gets at the peers.
 BEST_PER_SECOND = 100.0
@@ -39,3 +39,17 @@
     rate = 600 + sum(NEIGHBOURS.values())
     # Half of the mean leaves room for the end of the run.
     assert asked_tokens >= rate * window_seconds * 1000 / 2
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_neighbours_of_a_flood_keep_their_share_of_a_plain_service(
+    seed: int,
+) -> None:
+    """Guards against a queue that one organisation fills for all others."""
+    rates = {'flood': 400.0, 'small': 10.0, 'smaller': 5.0}
+    router = SaturatedRouter(rates, seed, PLAIN_PATH)
+    router.run(3)
+    router.run(WINDOW_SECONDS)
+    best = router.served['flood']
+    for name, asked in router.asked.items():
+        assert router.served[name] >= min(asked, best) / 2, router.served
