Close few connections of a flooded router

What callers saw: at a flooded router most requests are rejected although its processor could serve more, the share of the flooding organisation included.

Cause: a router that rejects for overload, or that gets twice the requests of its peers, closed the connection with every response, to move callers to other routers. Callers that use only this router connect again at once. Accepting a connection takes nearly as long as a rejection, so the reaction to the overload added to it.

Change: at most 50 connections a second are closed to move their callers.

Retries of callers still come on new connections.

--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -164,8 +164,8 @@
         The organisations that send most are rejected first. Their tokens count
         as demand nevertheless: the fair shares are those of the fleet.
 
-        A caller may reuse one connection for many requests, so the connection
-        is closed to make the caller connect to another router.
+        A caller may reuse one connection for many requests, so some connections
+        are closed to make their callers connect to other routers.
         """
         state = self._state
         loop_lag = state.loop_lag
@@ -174,7 +174,8 @@
         )
         if is_within_share and not loop_lag.is_overloaded:
             return
-        self.exchange.close_after_response()
+        if state.may_close_connection():
+            self.exchange.close_after_response()
         tokens = usage_tokens(service, metadata)
         if self._organisation is not None and tokens:
             # Retries are recognised by their body, which has not been read, so
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -35,6 +35,8 @@
 # In a small fleet a reachable source responds at least every 3 s. In a large
 # fleet a call may wait for 10 s, but some peer got a response more recently.
 _SOURCE_TIMEOUT_SECONDS: Final = 4.5
+# Moves all connections of the callers of a router within a few seconds.
+_CLOSE_INTERVAL_SECONDS: Final = 0.02
 
 
 def _boottime_seconds() -> float:
@@ -85,6 +87,7 @@
         self.loop_lag = LoopLag()
         self.load_shedder = LoadShedder()
         self.arrivals = ArrivalRate()
+        self._closed_seconds = -math.inf
         self.is_leaving = False
         self.is_accepting = True
         self.source_response_seconds: dict[str, float] = {}
@@ -132,7 +135,23 @@
             for peer in self.peers.live(now_seconds)
             if peer.is_ready
         ]
-        return exceeds_peer_rates(self.arrivals.per_second(now_seconds), rates)
+        return (
+            exceeds_peer_rates(self.arrivals.per_second(now_seconds), rates)
+            and self.may_close_connection()
+        )
+
+    def may_close_connection(self) -> bool:
+        """Return whether to close a connection to move its caller.
+
+        Callers that use only this router come back at once, and accepting a
+        connection takes about as long as a rejection. The rate is therefore
+        limited, so that closing does not add to the overload.
+        """
+        now_seconds = self.clock()
+        if now_seconds - self._closed_seconds < _CLOSE_INTERVAL_SECONDS:
+            return False
+        self._closed_seconds = now_seconds
+        return True
 
     def admission_window(self, service: ServiceId) -> AdmissionWindow:
         """Return the admission window of a service."""
--- a/tests/saturated_router.py
+++ b/tests/saturated_router.py
@@ -35,6 +35,7 @@
 # Processor time of a request. Rejections are cheap, but a flood causes many.
 SERVED_SECONDS = 0.0026
 REJECTED_SECONDS = 0.00045
+ACCEPTED_SECONDS = 0.00025
 LAG_SAMPLE_SECONDS = 0.05
 # Callers that are not read for this long give up.
 PATIENCE_SECONDS = 1.0
@@ -55,6 +56,7 @@
         self.started = False
         self.status = 0
         self.retry_after_seconds = 0.0
+        self.is_closed = False
         self._body = body
 
     async def read_body(self, max_bytes: int) -> bytes:
@@ -81,7 +83,7 @@
         await curio.sleep(60)
 
     def close_after_response(self) -> None:
-        """Accept that the connection is closed."""
+        self.is_closed = True
 
     def abort(self) -> None:
         self.status = 0
@@ -136,6 +138,7 @@
         self.now_seconds = 100.0
         self.asked: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
+        self.closed_count = 0
         self._rng = random.Random(seed)
         self._rates = rates
         self._path = path
@@ -171,6 +174,7 @@
         """
         self.asked.clear()
         self.served.clear()
+        self.closed_count = 0
         end_seconds = self.now_seconds + seconds
         for name, rate in self._rates.items():
             at_seconds = self.now_seconds + self._rng.expovariate(rate)
@@ -233,6 +237,7 @@
             return
         exchange = _Exchange(self._head(arrival.organisation), arrival.body)
         await self._handler(exchange)  # type: ignore[arg-type]
+        self.closed_count += exchange.is_closed
         if exchange.status == SERVED_STATUS:
             self.now_seconds += SERVED_SECONDS
             self.served[arrival.organisation] += 1
--- a/tests/test_router_overload.py
+++ b/tests/test_router_overload.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from tests.saturated_router import PLAIN_PATH, SaturatedRouter
+from tests.saturated_router import (
+    ACCEPTED_SECONDS,
+    PLAIN_PATH,
+    SaturatedRouter,
+)
 
 # Requests per second that the best served organisation gets at the peers.
 BEST_PER_SECOND = 100.0
@@ -41,6 +45,14 @@
     assert asked_tokens >= rate * window_seconds * 1000 / 2
 
 
+def test_closed_connections_do_not_add_to_the_overload() -> None:
+    """Guards against a flood that has to connect again for each request."""
+    router = flooded_router(1000, seed=1)
+    # At most a tenth of the processor accepts connections.
+    accepting_seconds = router.closed_count * ACCEPTED_SECONDS
+    assert accepting_seconds <= WINDOW_SECONDS / 10
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_neighbours_of_a_flood_keep_their_share_of_a_plain_service(
     seed: int,
