Reject a late request by its own time limit, not by a fixed lag

What callers saw: beyond a lag of 1 s a saturated router rejected every request, also those whose callers wait for up to 15 s, and the organisations that are admitted within their share got nothing for seconds.

Cause: the lag at which everything was rejected was a constant. Whether a request can still be served depends on its deadline and on the timeout of its route.

Ruled out: the share of the organisation.

Change: a request is rejected for the lag if twice the lag exceeds its time limit: it has waited in the socket for about the lag, and its response takes as long again.

--- a/src/dotterelhatch/gateway/lag.py
+++ b/src/dotterelhatch/gateway/lag.py
@@ -8,11 +8,8 @@
 __all__ = ('LoopLag',)
 
 _SAMPLE_INTERVAL_SECONDS: Final = 0.05
-# A request that waited this long in the socket has missed its objective, and
-# its caller may have disconnected.
-_OVERLOAD_LAG_SECONDS: Final = 1.0
-# Weight of a sample below the current value, so that the process counts as
-# overloaded for a few more samples after it has caught up.
+# Weight of a sample below the current value, so that the lag falls within a few
+# samples after the process has caught up.
 _RECOVERY_WEIGHT: Final = 0.3
 
 
@@ -27,10 +24,13 @@
         """Start without lag."""
         self.seconds = 0.0
 
-    @property
-    def is_overloaded(self) -> bool:
-        """Return whether no response of this router would be in time."""
-        return self.seconds > _OVERLOAD_LAG_SECONDS
+    def exceeds(self, limit_seconds: float) -> bool:
+        """Return whether a response would arrive after a time limit.
+
+        The request has waited in the socket for about the lag, and its
+        response will take as long again.
+        """
+        return 2 * self.seconds > limit_seconds
 
     async def measure_forever(self) -> None:
         """Measure the lag periodically until the task is cancelled."""
--- a/src/dotterelhatch/gateway/request_records.py
+++ b/src/dotterelhatch/gateway/request_records.py
@@ -11,7 +11,13 @@
 from dotterelhatch.gateway.wireformat import RequestMetadata
 from dotterelhatch.ids import Fingerprint, OrganisationId, TargetId
 
-__all__ = ('Attempt', 'AttemptHistory', 'RoutedRequest', 'usage_tokens')
+__all__ = (
+    'Attempt',
+    'AttemptHistory',
+    'RoutedRequest',
+    'time_limit_seconds',
+    'usage_tokens',
+)
 
 # Used when the caller sends no deadline.
 _DEFAULT_DEADLINE_SECONDS: Final = 30.0
@@ -22,6 +28,12 @@
     return 1 if service.engine is None else metadata.usage_tokens
 
 
+def time_limit_seconds(route: RouteRule, metadata: RequestMetadata) -> float:
+    """Return how long a request may take, from its arrival."""
+    deadline_seconds = metadata.deadline_seconds or _DEFAULT_DEADLINE_SECONDS
+    return min(deadline_seconds, route.timeout_seconds)
+
+
 class RoutedRequest:
     """A request with its route, service and body.
 
@@ -45,8 +57,7 @@
         self.organisation = organisation
         self.metadata = metadata
         self.body = body
-        deadline = metadata.deadline_seconds or _DEFAULT_DEADLINE_SECONDS
-        self.limit_seconds = min(deadline, route.timeout_seconds)
+        self.limit_seconds = time_limit_seconds(route, metadata)
         self.tokens = usage_tokens(service, metadata)
         # The fingerprint ignores the request ID, so that a caller's retry
         # under a new ID is recognised.
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -12,6 +12,7 @@
 from dotterelhatch.gateway.request_records import (
     AttemptHistory,
     RoutedRequest,
+    time_limit_seconds,
     usage_tokens,
 )
 from dotterelhatch.gateway.state import GatewayState
@@ -172,7 +173,8 @@
         is_within_share = state.load_shedder.admits(
             self._organisation, loop_lag.seconds, state.clock()
         )
-        if is_within_share and not loop_lag.is_overloaded:
+        limit_seconds = time_limit_seconds(route, metadata)
+        if is_within_share and not loop_lag.exceeds(limit_seconds):
             return
         if state.may_close_connection():
             self.exchange.close_after_response()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -407,7 +407,7 @@
         assert response.status == 503
         assert response.header('Connection') == 'close'
         assert not fixture.runs
-        await _until(lambda: not fixture.gateway.state.loop_lag.is_overloaded)
+        await _until(lambda: fixture.gateway.state.loop_lag.seconds < 0.1)
         assert (await fixture.call('/lookup/1')).status == 200
 
 
