--- a/emulator/policies.py
+++ b/emulator/policies.py
@@ -45,7 +45,6 @@
 _SHORTEST_OBJECTIVE_SECONDS: Final = min(
     kind.objective_seconds for kind in REQUEST_KINDS
 )
-_OUTPUT_TOKEN_WEIGHT: Final = 2
 
 
 class IncomingRequest:
@@ -74,11 +73,7 @@
     @property
     def tokens(self) -> int:
         """Return the usage by which organisations are compared."""
-        prompt = self.prompt
-        return (
-            prompt.input_tokens
-            + _OUTPUT_TOKEN_WEIGHT * prompt.max_output_tokens
-        )
+        return self.prompt.usage_tokens
 
 
 class Policy(Protocol):
