Take test ports outside the range of outgoing connections

Cause: a test asked the system for a free port, closed it, and a gateway bound it later. The system picks from 32768 to 60999 for this, and may give the same port to an outgoing connection or to the next caller in between.

Ruled out: a listener of the product that is not closed; each test used ports of its own, and this one had been given to it as free.

Change: ports from 11000 to 18999, each once in a process, checked to be free.

That the failure came from the port range follows from the port; it has not been seen again, and could not be repeated at will.

--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import functools
+import itertools
+import os
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -44,11 +46,23 @@
 DOMAIN = FailureDomain('konya')
 
 
+# Below the ports that the system picks for outgoing connections and for
+# listeners without a fixed port.
+_FIRST_PORT = 11_000
+_PORTS_COUNT = 8_000
+_PORT_NUMBERS = itertools.count(os.getpid() * 97)
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is currently free."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free; each call returns another one."""
+    while True:
+        port = _FIRST_PORT + next(_PORT_NUMBERS) % _PORTS_COUNT
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 def run_async(
