--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 
 from dotterelhatch.core.registry import TargetState
 from dotterelhatch.core.targethealth import AttemptOutcome
+from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.ids import TargetId
 from dotterelhatch.net.http import ResponseLostError
 from dotterelhatch.net.stream import SocketStream
@@ -466,6 +467,22 @@
     assert not fixture.runs
 
 
+@run_async
+async def test_a_lag_within_the_deadline_rejects_nothing() -> None:
+    """Guards against a fixed lag at which patient callers are rejected too."""
+    async with open_gateway((PLAIN, ServerStandIn('i-1'))) as fixture:
+        # The gateway goes on measuring the former instance, so this lag stays.
+        lag = LoopLag()
+        lag.record(1.5)
+        fixture.gateway.state.loop_lag = lag
+        patient = await fixture.call('/lookup/1')
+        impatient = await fixture.call(
+            '/lookup/1', Dotterelhatch_Deadline_Ms='2000'
+        )
+    assert patient.status == 200
+    assert impatient.status == 503
+
+
 @run_async
 async def test_a_leaving_router_is_listed_while_there_is_no_other() -> None:
     """Guards against an empty address list in a quick rolling restart.
