Log what broken requests have in common

What callers saw: engines crash one after the other; the log does not tell by which requests.

Cause: the line of a broken attempt named the target and the reason only.

Change: it names the route, the organisation, the fingerprint and the shared parts of the prompt, of which callers choose the number and the length, so both are cut off.

--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -54,6 +54,9 @@
 # the objective of the route, which is 0.5 s or less. A target without a
 # response after twice that time counts as unresponsive.
 _UNRESPONSIVE_SECONDS: Final = 1.0
+# Callers choose the number and the length of these ids.
+_MAX_LOGGED_PARTS_COUNT: Final = 8
+_MAX_LOGGED_PART_ID_CHARS: Final = 32
 
 
 class GatewayComponents(Protocol):
@@ -483,6 +486,10 @@
             reason=failure.reason.value,
             detail=failure.detail,
             sends_count=self._request.history.sends_count,
+            route=self._routed.route.name,
+            organisation=self._routed.organisation,
+            fingerprint=self._routed.fingerprint,
+            shared_parts=_logged_part_ids(self._routed),
         )
         if is_unsent:
             return self._after_unreachable()
@@ -521,6 +528,17 @@
         await curio.ignore_after(_DISCARD_TIMEOUT_SECONDS, response.read_all)
 
 
+def _logged_part_ids(routed: RoutedRequest) -> list[str]:
+    """Return the shared prompt parts, short enough for a log line."""
+    prompt = routed.metadata.prompt
+    if prompt is None:
+        return []
+    return [
+        part.id[:_MAX_LOGGED_PART_ID_CHARS]
+        for part in prompt.shared_parts[:_MAX_LOGGED_PARTS_COUNT]
+    ]
+
+
 def _admission_facts(
     placement_request: PlacementRequest, routed: RoutedRequest
 ) -> dict[str, Any]:
