--- a/standins/server.py
+++ b/standins/server.py
@@ -1,6 +1,7 @@
 """Simulated server of the platform: plain and streamed responses, faults."""
 
 import enum
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import curio
@@ -43,6 +44,10 @@
     :param executed_ids: ids of the requests whose execution started.
     :param received_headers: headers of all requests, names in lower case.
     :param cancelled_ids: ids of requests that were cancelled while they ran.
+    :param deadly_parts: parts of prompts on which the server crashes after the
+        first event.
+    :param stop_accepting: closes the listener of the server.
+    :param has_crashed: whether the server has crashed.
     """
 
     instance: str
@@ -52,6 +57,9 @@
     executed_ids: list[str] = field(default_factory=list)
     received_headers: list[dict[str, str]] = field(default_factory=list)
     cancelled_ids: list[str] = field(default_factory=list)
+    deadly_parts: frozenset[str] = frozenset()
+    stop_accepting: Callable[[], Awaitable[None]] | None = None
+    has_crashed: bool = False
 
     async def __call__(self, exchange: ServerExchange) -> None:
         """Respond to one request."""
@@ -120,11 +128,25 @@
                 exchange.abort()
                 return
             await exchange.send_chunk(event)
+            if self.deadly_parts & _part_ids(headers):
+                await self._crash(exchange)
+                return
             if self.behaviour is ServerBehaviour.ENDLESS_EVENT:
                 await _send_endlessly(exchange)
             await curio.sleep(self.event_seconds)
         await exchange.end_stream()
 
+    async def _crash(self, exchange: ServerExchange) -> None:
+        self.has_crashed = True
+        if self.stop_accepting is not None:
+            await self.stop_accepting()
+        exchange.abort()
+
+
+def _part_ids(headers: dict[str, str]) -> set[str]:
+    prefix = headers.get('dotterelhatch-prompt-prefix', '')
+    return {entry.partition(':')[0] for entry in prefix.split(',')}
+
 
 async def _send_endlessly(exchange: ServerExchange) -> None:
     """Send parts of a line until the router closes the connection."""
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -177,14 +177,20 @@
         )
 
     async def stream(
-        self, path: str, request_id: str = 'r1', **headers: str
+        self,
+        path: str,
+        request_id: str = 'r1',
+        parts: str = 'aa:600,bb:300',
+        body: bytes = b'',
+        **headers: str,
     ) -> Response:
         """Send a request with a prompt and return the response."""
         return await self.call(
             path,
             request_id,
+            body,
             Dotterelhatch_Token_Counts='900,80',
-            Dotterelhatch_Prompt_Prefix='aa:600,bb:300',
+            Dotterelhatch_Prompt_Prefix=parts,
             **headers,
         )
 
@@ -194,21 +200,42 @@
     *servers: tuple[ServiceId, ServerStandIn], table: RoutingTable | None = None
 ) -> AsyncIterator[GatewayFixture]:
     """Open a gateway with servers as its targets."""
-    gateway = Gateway(gateway_settings(), PlatformWireFormat())
-    fixture = GatewayFixture(gateway)
+    async with open_fleet(*servers, table=table, routers_count=1) as fixtures:
+        yield fixtures[0]
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(
+    *servers: tuple[ServiceId, ServerStandIn],
+    routers_count: int,
+    table: RoutingTable | None = None,
+) -> AsyncIterator[list[GatewayFixture]]:
+    """Open gateways that know each other, with servers as their targets."""
     async with contextlib.AsyncExitStack() as stack:
         entries = []
         for service, stand_in in servers:
             server = HttpServer('127.0.0.1:0', stand_in)
             await stack.enter_async_context(server)
-            fixture.servers[stand_in.instance] = stand_in
+            stand_in.stop_accepting = server.stop_accepting
             entries.append(target(service, stand_in.instance, server.port))
-        await stack.enter_async_context(gateway)
-        gateway.state.apply_table(table or routing_table())
-        gateway.state.apply_targets(entries, None)
-        for document in ('op', 'servers'):
-            gateway.on_source_response(document)
-        yield fixture
+        fixtures: list[GatewayFixture] = []
+        for number in range(routers_count):
+            seeds = tuple(
+                fixture.gateway.settings.heartbeat_address
+                for fixture in fixtures
+            )
+            settings = gateway_settings(
+                f'router-{number + 1}', seed_addresses=seeds
+            )
+            gateway = Gateway(settings, PlatformWireFormat())
+            await stack.enter_async_context(gateway)
+            gateway.state.apply_table(table or routing_table())
+            gateway.state.apply_targets(entries, None)
+            for document in ('op', 'servers'):
+                gateway.on_source_response(document)
+            stand_ins = {one.instance: one for _, one in servers}
+            fixtures.append(GatewayFixture(gateway, stand_ins))
+        yield fixtures
 
 
 def target(service: ServiceId, name: str, port: int) -> TargetEntry:
--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,81 @@
+"""Requests that crash the model engines that run them, through gateways."""
+
+import contextlib
+
+import curio
+import pytest
+
+from dotterelhatch.net.http import HttpError, Response
+from standins.server import ServerStandIn
+from tests.gateway_helpers import (
+    MODEL,
+    GatewayFixture,
+    open_fleet,
+    run_async,
+)
+
+ENGINES_COUNT = 9
+DEADLY_REQUESTS_COUNT = 9
+# The users allow five crashes before the requests have to be recognised.
+MAX_CRASHES_COUNT = 5
+# Longer than a heartbeat and the probe of a broken connection together.
+SETTLING_SECONDS = 0.4
+
+
+def _engines(*deadly_parts: str) -> list[ServerStandIn]:
+    return [
+        ServerStandIn(f'i-{number}', deadly_parts=frozenset(deadly_parts))
+        for number in range(ENGINES_COUNT)
+    ]
+
+
+async def _send(
+    router: GatewayFixture, request_id: str, parts: str
+) -> Response | None:
+    """Send a request; return None if its answer is broken off."""
+    with contextlib.suppress(HttpError):
+        return await router.stream(
+            '/draft/1', request_id, parts=parts, body=request_id.encode()
+        )
+    return None
+
+
+@pytest.mark.parametrize('routers_count', [1, 3])
+def test_requests_with_one_part_crash_engine_after_engine(
+    routers_count: int,
+) -> None:
+    """Guards against crashes that are never traced to a part of the prompts.
+
+    No two of the requests are alike, and each reaches another router. Sound
+    requests share their other parts and their caller, and are served.
+    """
+
+    @run_async
+    async def run() -> None:
+        engines = _engines('dd')
+        answers = []
+        sound = []
+        async with open_fleet(
+            *((MODEL, engine) for engine in engines),
+            routers_count=routers_count,
+        ) as routers:
+            await curio.sleep(SETTLING_SECONDS)
+            for number in range(DEADLY_REQUESTS_COUNT):
+                router = routers[number % routers_count]
+                deadly = f'aa:600,bb:300,dd:80,x{number}:9'
+                answers.append(await _send(router, f'd{number}', deadly))
+                await curio.sleep(SETTLING_SECONDS)
+                harmless = f'aa:600,bb:300,y{number}:9'
+                sound.append(await _send(router, f's{number}', harmless))
+        crashes_count = sum(engine.has_crashed for engine in engines)
+        assert crashes_count <= MAX_CRASHES_COUNT
+        rejections = [answer for answer in answers if answer is not None]
+        assert len(rejections) == DEADLY_REQUESTS_COUNT - crashes_count
+        for answer in rejections:
+            assert answer.status == 422
+            assert answer.header('Retry-After') is None
+        assert [answer and answer.status for answer in sound] == (
+            [200] * DEADLY_REQUESTS_COUNT
+        )
+
+    run()
