Treat a stream without a length that ends inside an event as broken off

What callers saw: a stream whose server ended inside an event, without a length or chunks, was passed on as a complete one.

Cause: the end of the connection was taken for the end of such an answer unless it was reset.

Ruled out: answers with a length or chunks, whose missing end is noticed, and resets. Whole streams without a length are passed on as before.

Change: when the connection ends and the last bytes are no blank line, the attempt has failed: a resumable stream goes on at another target, the connection of another one is broken off.

--- a/src/dotterelhatch/gateway/relay.py
+++ b/src/dotterelhatch/gateway/relay.py
@@ -22,6 +22,9 @@
 _MULTIPLE_CHOICES: Final = 300
 _EVENT_ID: Final = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 _CONTENT_LENGTH: Final = 'content-length'
+# Ends of an event, as its lines may end.
+_BLANK_LINES: Final = (b'\n\n', b'\r\n\r\n', b'\r\r')
+_MAX_BLANK_LINE_BYTES: Final = 4
 
 
 def is_success(status: int) -> bool:
@@ -84,11 +87,21 @@
         :raises TargetFailure: when the target fails before the end.
         :raises DisconnectError: when the caller disconnects.
         """
+        tail = b''
         while chunk := await response.read_chunk():
             on_chunk()
+            tail = (tail + chunk)[-_MAX_BLANK_LINE_BYTES:]
             content = self._complete_events(chunk)
             if content:
                 await self._send(response, content)
+        if not (response.is_delimited or tail.endswith(_BLANK_LINES)):
+            # Only a reset or an incomplete event shows that such a stream was
+            # broken off.
+            raise TargetFailure(
+                FailureStage.ANSWERING,
+                FailureReason.TRUNCATED,
+                'the stream ended with its connection inside an event',
+            )
         await self._send(response, b'')
         if self._is_resumable and self._splitter.pending:
             await self._exchange.send_chunk(self._splitter.pending)
