Log the limits that targets name in their answers

What callers saw: targets get more than the limit that they name; the log doesn't show limits.

Cause: nothing decodes the header.

Change: the adapter decodes it into requests a second; lines of served and repeated requests have it.

--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -383,6 +383,7 @@
         target = attempt.placement.entry.id
         state.health.on_received(target, state.clock())
         attempt.has_response = True
+        attempt.limit_per_second = wire.limit_per_second(response.headers)
         if wire.is_not_executed(response.status, response.headers):
             self._request.history.possible_executions_count -= 1
             attempt.outcome = AttemptOutcome.SHED
@@ -452,6 +453,7 @@
             'answered',
             status=status,
             target=attempt.placement.entry.id,
+            target_limit_per_second=attempt.limit_per_second,
             first_event_ms=round(
                 (first_seconds - self._request.received_seconds) * 1000
             ),
@@ -506,6 +508,7 @@
             request_id=self._routed.metadata.request_id,
             target=attempt.placement.entry.id,
             reason=reason,
+            target_limit_per_second=attempt.limit_per_second,
             sends_count=self._request.history.sends_count,
         )
         return _NextStep.AGAIN
--- a/src/dotterelhatch/gateway/request_records.py
+++ b/src/dotterelhatch/gateway/request_records.py
@@ -93,6 +93,8 @@
     :param started_seconds: clock time at which it was sent.
     :param has_response: whether the head of a response has arrived.
     :param first_event_seconds: clock time of the first event of a stream.
+    :param limit_per_second: request rate that the target takes from all
+        routers, as named in its response.
     :param has_survived: whether the target has been answering for a while.
     :param outcome: None until it is known, and if the attempt is abandoned.
     """
@@ -101,6 +103,7 @@
     started_seconds: float
     has_response: bool = False
     first_event_seconds: float | None = None
+    limit_per_second: float | None = None
     has_survived: bool = False
     outcome: AttemptOutcome | None = None
 
--- a/src/dotterelhatch/gateway/wireformat.py
+++ b/src/dotterelhatch/gateway/wireformat.py
@@ -75,6 +75,12 @@
     def is_misdirected(self, status: int) -> bool:
         """Return whether another instance now has the target's address."""
 
+    def limit_per_second(self, headers: Headers) -> float | None:
+        """Return the request rate that a target takes from all routers.
+
+        :returns: None if its response names no limit.
+        """
+
     def render_error(
         self, error: DotterelhatchError, request_id: RequestId | None = None
     ) -> Response:
--- a/src/dotterelhatch/platform/wire.py
+++ b/src/dotterelhatch/platform/wire.py
@@ -1,6 +1,7 @@
 """HTTP headers of callers and servers on the platform."""
 
 import json
+import logging
 import math
 from typing import Final
 
@@ -17,6 +18,7 @@
 
 __all__ = ('PlatformWireFormat',)
 
+_LOGGER: Final = logging.getLogger(__name__)
 _REQUEST_ID: Final = 'Dotterelhatch-Request-Id'
 # Milliseconds that the sender of the request still waits.
 _DEADLINE: Final = 'Dotterelhatch-Deadline-Ms'
@@ -30,6 +32,8 @@
 # not shared with other requests.
 _PROMPT_PREFIX: Final = 'Dotterelhatch-Prompt-Prefix'
 _LAST_EVENT_ID: Final = 'Last-Event-Id'
+# Requests a second that the server takes from all routers together.
+_SERVER_LIMIT: Final = 'Server-Limit'
 _AUTHORIZATION: Final = 'Authorization'
 _BEARER_PREFIX: Final = 'bearer '
 _MISDIRECTED: Final = 421
@@ -109,6 +113,23 @@
         """Return whether another server now has the address."""
         return status == _MISDIRECTED
 
+    def limit_per_second(self, headers: Headers) -> float | None:
+        """Return the request rate that a server takes from all routers.
+
+        :returns: None if its response names no limit, or no valid one.
+        """
+        text = find_header(headers, _SERVER_LIMIT)
+        if text is None:
+            return None
+        try:
+            limit = float(text)
+        except ValueError:
+            limit = math.nan
+        if math.isfinite(limit) and limit >= 0:
+            return limit
+        _LOGGER.warning('a server names the invalid limit %r', text[:32])
+        return None
+
     def render_error(
         self, error: DotterelhatchError, request_id: RequestId | None = None
     ) -> Response:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -260,6 +260,21 @@
     assert caught.value.kind is ErrorKind.BAD_REQUEST
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit_per_second'),
+    [('5.3', 5.3), ('0', 0.0), ('12', 12.0), ('much', None), ('-1', None),
+     ('nan', None), ('inf', None), ('', None)],
+)  # fmt: skip
+def test_the_limit_of_a_server_is_decoded(
+    text: str, limit_per_second: float | None
+) -> None:
+    """Guards against a limit that is ignored, and against nonsense as one."""
+    headers = (('server-limit', text),)
+    wire = PlatformWireFormat()
+    assert wire.limit_per_second(headers) == limit_per_second
+    assert wire.limit_per_second(()) is None
+
+
 def test_a_forwarded_head_has_the_remaining_time() -> None:
     """Guards against a target that works longer than its caller waits.
 
