--- a/standins/server.py
+++ b/standins/server.py
@@ -48,6 +48,7 @@
         first event.
     :param stop_accepting: closes the listener of the server.
     :param has_crashed: whether the server has crashed.
+    :param limit_per_second: request rate that its answers name, if any.
     """
 
     instance: str
@@ -60,6 +61,7 @@
     deadly_parts: frozenset[str] = frozenset()
     stop_accepting: Callable[[], Awaitable[None]] | None = None
     has_crashed: bool = False
+    limit_per_second: float | None = None
 
     async def __call__(self, exchange: ServerExchange) -> None:
         """Respond to one request."""
@@ -67,10 +69,13 @@
         self.received_headers.append(headers)
         await exchange.read_body(_MAX_BODY_BYTES)
         request_id = headers['dotterelhatch-request-id']
-        echoed = (
+        echoed: tuple[tuple[str, str], ...] = (
             (f'{_PREFIX}Request-Id', request_id),
             (f'{_PREFIX}Response-Stamp', f'stamp-{self.instance}'),
         )
+        if self.limit_per_second is not None:
+            limit = f'{self.limit_per_second:g}'
+            echoed = (*echoed, ('Server-Limit', limit))
         if self.behaviour is ServerBehaviour.SHED:
             rejection = (echoed[0], (f'{_PREFIX}Not-Executed', '1'))
             await exchange.send(Response(503, rejection, b''))
