--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -8,6 +8,12 @@
 import typer
 
 from dotterelhatch.core.admission import AdmissionCounts
+from dotterelhatch.core.crashcauses import (
+    CompletedCause,
+    CrashEvidence,
+    CrashView,
+    RejectedSet,
+)
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.load import LoadTracker, TargetLoad
 from dotterelhatch.core.peers import (
@@ -18,6 +24,7 @@
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
 from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
 from dotterelhatch.ids import (
+    CauseId,
     FailureDomain,
     Incarnation,
     OrganisationId,
@@ -100,6 +107,31 @@
     )
 
 
+def _make_evidence(rng: random.Random, crashes: int) -> CrashEvidence:
+    """Return what a router knows after crashes of targets.
+
+    It has seen all of them, with five requests of four causes at each.
+    """
+
+    def cause() -> CauseId:
+        return CauseId(rng.getrandbits(64))
+
+    return CrashEvidence(
+        tuple(
+            CrashView(
+                TargetId(f'i-{_random_hex(rng)}'),
+                round(rng.random(), 3),
+                tuple(tuple(cause() for _ in range(4)) for _ in range(5)),
+            )
+            for _ in range(crashes)
+        ),
+        (RejectedSet((cause(),), round(rng.random(), 3), 0, False),),
+        tuple(
+            CompletedCause(cause(), round(rng.random(), 3)) for _ in range(64)
+        ),
+    )
+
+
 def _random_hex(rng: random.Random) -> str:
     return f'{rng.getrandbits(40):010x}'
 
@@ -109,12 +141,21 @@
     targets: Annotated[int, typer.Option()] = 8,
     organisations: Annotated[int, typer.Option()] = 16,
     requests_per_second: Annotated[float, typer.Option()] = 25,
+    crashes: Annotated[int, typer.Option()] = 0,
 ) -> None:
     """Print the cost of sending and receiving the heartbeats of a router."""
     interval_seconds = heartbeat_interval_seconds(routers - 1)
     heartbeat = make_heartbeat(
         targets, organisations, requests_per_second * interval_seconds
     )
+    rng = random.Random(_SEED)
+    heartbeat = replace(
+        heartbeat,
+        totals=replace(
+            heartbeat.totals or WindowTotals(),
+            crash_evidence=_make_evidence(rng, crashes) if crashes else None,
+        ),
+    )
     # Every second heartbeat has totals.
     sent_heartbeats = (heartbeat, replace(heartbeat, totals=None))
     started_seconds = time.process_time()
