Keep all routers together below the limits that targets name

What callers saw: targets that named a request rate got half as much again and more, from the first moment at which it counts.

Cause: no router read the limit. Class of fault: a limit of the whole fleet that nothing divides among its routers.

An equal part each: with 33 routers a limit of 2 a second is below one request each, and callers spread unevenly. Counting what peers report as sent: 33 routers that see room for one request send 33 until the next heartbeat.

Few routers use a target with a low limit, chosen by rendezvous hashing; they share it by their request rates, each with a token bucket. A router that hears half of the others or fewer counts those that it heard last. Targets without a token are no candidates; if there is no other, the request is rejected at once. Heartbeats carry the limits seen in answers.

--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -22,6 +22,7 @@
     heartbeat_interval_seconds,
 )
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
+from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
 from dotterelhatch.ids import (
     CauseId,
@@ -142,6 +143,7 @@
     organisations: Annotated[int, typer.Option()] = 16,
     requests_per_second: Annotated[float, typer.Option()] = 25,
     crashes: Annotated[int, typer.Option()] = 0,
+    limits: Annotated[int, typer.Option()] = 0,
 ) -> None:
     """Print the cost of sending and receiving the heartbeats of a router."""
     interval_seconds = heartbeat_interval_seconds(routers - 1)
@@ -154,6 +156,15 @@
         totals=replace(
             heartbeat.totals or WindowTotals(),
             crash_evidence=_make_evidence(rng, crashes) if crashes else None,
+            target_limits=tuple(
+                LimitReport(
+                    TargetId(f'i-{_random_hex(rng)}'),
+                    1783006898303,
+                    round(rng.random() * 9, 1),
+                    round(rng.random(), 3),
+                )
+                for _ in range(limits)
+            ),
         ),
     )
     # Every second heartbeat has totals.
--- a/emulator/policies.py
+++ b/emulator/policies.py
@@ -27,6 +27,7 @@
     ServiceSpec,
 )
 from dotterelhatch.core.targethealth import AttemptOutcome, TargetHealth
+from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.ids import (
     FailureDomain,
     OrganisationId,
@@ -180,6 +181,7 @@
             registry,
             self._load_tracker,
             self._health,
+            TargetLimits(RouterId('router'), dict),
             rng,
         )
         self._in_flight: list[tuple[InFlightRequest, Placement]] = []
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -28,6 +28,7 @@
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
 from dotterelhatch.core.routes import EngineSpec, RouteRule, ServiceSpec
 from dotterelhatch.core.targethealth import TargetHealth
+from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.ids import FailureDomain, TargetId
 
 __all__ = (
@@ -64,6 +65,9 @@
 _OTHER_DOMAIN_SECONDS: Final = 0.002
 _MIN_RETRY_AFTER_SECONDS: Final = 0.2
 _RETRY_AFTER_JITTER_SECONDS: Final = 0.6
+# At a router that does not use any of the targets, another one may take the
+# request sooner.
+_MAX_LIMIT_RETRY_AFTER_SECONDS: Final = 1.0
 # Longest queue of a plain target, in multiples of its slots, that still drains
 # within the deadlines of callers.
 _MAX_PLAIN_QUEUE_FACTOR: Final = 4.0
@@ -150,6 +154,7 @@
     :param registry: the known targets.
     :param loads: the load of the targets.
     :param health: failures and latency of the targets.
+    :param limits: request rates that targets take.
     :param rng: random generator for ties between targets and for the jitter
         of retry times.
     """
@@ -160,6 +165,7 @@
         registry: TargetRegistry,
         loads: LoadTracker,
         health: TargetHealth,
+        limits: TargetLimits,
         rng: random.Random,
     ) -> None:
         """Create a balancer without measurements."""
@@ -168,6 +174,7 @@
         self._registry = registry
         self._loads = loads
         self._health = health
+        self._limits = limits
         self._rng = rng
         self._plain_seconds = _INITIAL_PLAIN_SECONDS
         self._selector = CandidateSelector(
@@ -186,13 +193,19 @@
         """
         entries = self._find_candidates(request, excluded, now_seconds)
         if not entries:
-            return Rejection(
-                'no_target', self._add_jitter(_MIN_RETRY_AFTER_SECONDS)
+            return self._reject_without_candidate(
+                request, excluded, now_seconds
             )
         engine = request.service.engine
         if engine is None or request.prompt is None:
-            return self._place_plain(request, entries)
-        return self._place_prompt(request, engine, request.prompt, entries)
+            chosen = self._place_plain(request, entries)
+        else:
+            chosen = self._place_prompt(
+                request, engine, request.prompt, entries
+            )
+        if isinstance(chosen, Placement):
+            self._limits.on_placed(chosen.entry, now_seconds)
+        return chosen
 
     def on_plain_response(self, seconds: float) -> None:
         """Update the mean time of requests to plain services."""
@@ -207,20 +220,53 @@
     ) -> Sequence[TargetEntry]:
         ready = self._registry.ready(request.service.id)
         if request.isolation_key is not None:
-            usable = self._usable(ready, excluded, now_seconds)
+            usable = self._usable(request, ready, excluded, now_seconds)
             return rendezvous(request.isolation_key, usable)[:1]
         if request.prompt is not None:
             selected = self._selector.select(
                 request.service.id, request.prompt, now_seconds
             )
-            usable = self._usable(selected, excluded, now_seconds)
+            usable = self._usable(request, selected, excluded, now_seconds)
             if usable:
                 return usable
-        usable = self._usable(ready, excluded, now_seconds)
-        return usable or [entry for entry in ready if entry.id not in excluded]
+        usable = self._usable(request, ready, excluded, now_seconds)
+        return usable or [
+            entry
+            for entry in ready
+            if entry.id not in excluded
+            and not self._limit_wait_seconds(request, entry, now_seconds)
+        ]
+
+    def _limit_wait_seconds(
+        self, request: PlacementRequest, entry: TargetEntry, now_seconds: float
+    ) -> float:
+        return self._limits.wait_seconds(
+            entry, request.factors.fair_share_ratio, now_seconds
+        )
+
+    def _reject_without_candidate(
+        self,
+        request: PlacementRequest,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> Rejection:
+        """Reject a request that no target may get now."""
+        waits_seconds = [
+            self._limit_wait_seconds(request, entry, now_seconds)
+            for entry in self._registry.ready(request.service.id)
+            if entry.id not in excluded
+        ]
+        reason = 'target_limits' if waits_seconds else 'no_target'
+        wait_seconds = min(waits_seconds, default=_MIN_RETRY_AFTER_SECONDS)
+        wait_seconds = min(wait_seconds, _MAX_LIMIT_RETRY_AFTER_SECONDS)
+        return Rejection(
+            reason,
+            self._add_jitter(max(wait_seconds, _MIN_RETRY_AFTER_SECONDS)),
+        )
 
     def _usable(
         self,
+        request: PlacementRequest,
         entries: Iterable[TargetEntry],
         excluded: Collection[TargetId],
         now_seconds: float,
@@ -230,6 +276,7 @@
             for entry in entries
             if entry.id not in excluded
             and self._health.is_usable(entry.id, now_seconds)
+            and not self._limit_wait_seconds(request, entry, now_seconds)
         ]
 
     def _place_plain(
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -9,6 +9,7 @@
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import SentPrompt
+from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.ids import (
     FailureDomain,
     Incarnation,
@@ -53,6 +54,7 @@
     :param known_addresses: heartbeat addresses of live peers.
     :param crash_evidence: what the router knows of crashes of targets, None
         if that is nothing.
+    :param target_limits: limits that targets named in recent answers.
     """
 
     usages: Mapping[OrganisationId, Usage] = field(default_factory=dict)
@@ -64,6 +66,7 @@
         default_factory=dict
     )
     crash_evidence: CrashEvidence | None = None
+    target_limits: tuple[LimitReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,12 +183,20 @@
         live = self.live(now_seconds)
         if live:
             return live
-        oldest_seconds = now_seconds - _ISOLATION_TIMEOUT_SECONDS
-        return [
-            peer.heartbeat
-            for peer in self._peers.values()
-            if peer.received_seconds >= oldest_seconds
-        ]
+        return self._heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+
+    def sharing(self, now_seconds: float) -> list[Heartbeat]:
+        """Return the peers that share what the fleet may use.
+
+        If half of the routers or more are not live, this router may be on the
+        smaller side of a network partition. Those that were live last are
+        returned then, as they probably still use their share.
+        """
+        live = self.live(now_seconds)
+        recent = self._heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+        if 2 * (len(live) + 1) > len(recent) + 1:
+            return live
+        return recent
 
     def addresses(self, now_seconds: float) -> list[str]:
         """Return the addresses that heartbeats are sent to."""
@@ -197,6 +208,13 @@
         }
         return list(self._addresses)
 
+    def _heard_since(self, oldest_seconds: float) -> list[Heartbeat]:
+        return [
+            peer.heartbeat
+            for peer in self._peers.values()
+            if peer.received_seconds >= oldest_seconds
+        ]
+
 
 def heartbeat_interval_seconds(peers_count: int) -> float:
     """Return the interval between two heartbeats."""
--- a/src/dotterelhatch/core/placement.py
+++ b/src/dotterelhatch/core/placement.py
@@ -18,6 +18,7 @@
     'claim_cleaner_of',
     'coordinator_of',
     'coordinators_of',
+    'owners_of',
 )
 
 # Most targets get one of their top choices, so all routers are sorted only
@@ -134,6 +135,18 @@
     return max(_score_routers('claims/expired', _hash_seeds(routers)))[1]
 
 
+def owners_of(
+    name: str, routers: Iterable[RouterId], count: int
+) -> frozenset[RouterId]:
+    """Return the routers with the highest scores for a name.
+
+    :param routers: usable routers, in any order.
+    :param count: number of routers, if there are as many.
+    """
+    scored = _score_routers(name, _hash_seeds(routers))
+    return frozenset(router for _, router in heapq.nlargest(count, scored))
+
+
 def _fill_to_count(
     service: ServiceId,
     chosen: set[RouterId],
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -383,7 +383,7 @@
         target = attempt.placement.entry.id
         state.health.on_received(target, state.clock())
         attempt.has_response = True
-        attempt.limit_per_second = wire.limit_per_second(response.headers)
+        self._note_limit(attempt, response)
         if wire.is_not_executed(response.status, response.headers):
             self._request.history.possible_executions_count -= 1
             attempt.outcome = AttemptOutcome.SHED
@@ -411,6 +411,25 @@
             await self._clear_crash_causes(attempt, response)
         return _NextStep.DONE
 
+    def _note_limit(self, attempt: Attempt, response: TargetResponse) -> None:
+        """Apply the limit that a target names in its response.
+
+        Rejections need not name it, so that one without a limit ends none.
+        """
+        wire = self._gateway.wire
+        state = self._state
+        limit = wire.limit_per_second(response.headers)
+        attempt.limit_per_second = limit
+        if limit is None and wire.is_not_executed(
+            response.status, response.headers
+        ):
+            return
+        entry = attempt.placement.entry
+        if state.target_limits.on_answer(
+            entry, limit, attempt.started_seconds, state.clock()
+        ):
+            state.on_limit_changed(entry.id, limit, state.settings.router_id)
+
     async def _clear_crash_causes(
         self, attempt: Attempt, response: TargetResponse
     ) -> None:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -335,6 +335,7 @@
             known_addresses=addresses[:_MAX_HEARTBEAT_ADDRESSES_COUNT],
             plain_usages=state.contended_plain_usages(),
             crash_evidence=state.crash_causes.report(now_seconds),
+            target_limits=state.target_limits.report(now_seconds),
         )
 
     def _identity_heartbeat(self) -> Heartbeat:
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -42,6 +42,7 @@
     TABLE_CHANGED = 'table_changed'
     TARGET_CHANGED = 'target_changed'
     TARGET_SUSPECTED = 'target_suspected'
+    TARGET_LIMIT_CHANGED = 'target_limit_changed'
     CRASH_CAUSE_REJECTED = 'crash_cause_rejected'
     CRASH_CAUSE_TRIED = 'crash_cause_tried'
     CRASH_CAUSE_CLEARED = 'crash_cause_cleared'
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -101,6 +101,12 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.limited_targets = Gauge(
+            'limited_targets',
+            'Targets that name a request rate in their answers.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.rejected_crash_causes = Gauge(
             'rejected_crash_causes',
             'Sets of causes that crash targets, whose requests are rejected.',
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -25,11 +25,12 @@
 from dotterelhatch.core.routes import RoutingTable, ServiceSpec
 from dotterelhatch.core.shedding import LoadShedder
 from dotterelhatch.core.targethealth import TargetHealth
+from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
-from dotterelhatch.ids import OrganisationId, RouterId, ServiceId
+from dotterelhatch.ids import OrganisationId, RouterId, ServiceId, TargetId
 
 __all__ = ('GatewayState',)
 
@@ -77,11 +78,15 @@
         self.peers = PeerDirectory(
             settings.router_id, settings.heartbeat_address
         )
+        self.target_limits = TargetLimits(
+            settings.router_id, self._sharing_rates
+        )
         self.balancer = Balancer(
             BalancerSettings(settings.failure_domain),
             self.registry,
             self.load_tracker,
             self.health,
+            self.target_limits,
             rng,
         )
         self.retry_budget = FleetRetryBudget(_retry_budget_settings(settings))
@@ -209,6 +214,12 @@
             self.admission_window(service).on_report(
                 router, counts, now_seconds
             )
+        for report in self.target_limits.on_report(
+            totals.target_limits, now_seconds
+        ):
+            self.on_limit_changed(
+                report.target, report.limit_per_second, router
+            )
         self.on_causes_rejected(
             self.crash_causes.on_report(totals.crash_evidence, now_seconds),
             router,
@@ -231,6 +242,36 @@
             len(self.crash_causes.rejected_sets)
         )
 
+    def on_limit_changed(
+        self,
+        target: TargetId,
+        limit_per_second: float | None,
+        source: RouterId,
+    ) -> None:
+        """Log the limit of a target.
+
+        :param source: the router that received the answer with it.
+        """
+        log_decision(
+            Decision.TARGET_LIMIT_CHANGED,
+            target=target,
+            limit_per_second=limit_per_second,
+            share_per_second=self.target_limits.share_per_second(target),
+            routers_count=len(self._sharing_rates()),
+            source=source,
+        )
+        self.metrics.limited_targets.set(self.target_limits.limited_count)
+
+    def _sharing_rates(self) -> dict[RouterId, float]:
+        """Return the request rates of the routers that share limits."""
+        now_seconds = self.clock()
+        rates = {
+            peer.router: peer.requests_per_second
+            for peer in self.peers.sharing(now_seconds)
+        }
+        own_rate = self.arrivals.per_second(now_seconds)
+        return {**rates, self.settings.router_id: own_rate}
+
     def _live_routers(self) -> list[RouterId]:
         return [peer.router for peer in self.peers.live(self.clock())]
 
@@ -298,6 +339,8 @@
                 started_ms=entry.started_ms,
             )
             services.add(entry.service)
+            if entry.state is TargetState.LEAVING:
+                self.target_limits.forget(entry.id)
             if entry.state is TargetState.READY:
                 self.health.reset(entry.id)
                 self.balancer.cache.reset(entry.id)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -26,6 +26,7 @@
     ServiceSpec,
 )
 from dotterelhatch.core.targethealth import AttemptOutcome, TargetHealth
+from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.ids import FailureDomain, RouterId, ServiceId, TargetId
 
 MODEL = ServiceId('usta-model')
@@ -47,11 +48,13 @@
         entries = [_entry(MODEL, f'm{one}') for one in range(5)]
         entries += [_entry(PLAIN, f'p{one}') for one in range(3)]
         self.registry.apply(entries, 0)
+        self.limits = TargetLimits(RouterId('r1'), lambda: {RouterId('r1'): 9})
         self.balancer = Balancer(
             BalancerSettings(FailureDomain('konya')),
             self.registry,
             self.loads,
             self.health,
+            self.limits,
             random.Random(self.seed),
         )
 
@@ -312,3 +315,33 @@
         sum(one.entry.id == f'p{index}' for one in placed) for index in range(3)
     ]
     assert max(counts) - min(counts) <= 2
+
+
+def test_target_at_its_limit_is_not_used_while_others_have_room() -> None:
+    """Guards against sending a target more than the rate that it takes.
+
+    The engine that has cached the prompt names a limit; the next one is used
+    although it has to read the prompt.
+    """
+    fixture = Fixture()
+    request = make_request(prompt(7))
+    first = fixture.place(request)
+    assert isinstance(first, Placement)
+    fixture.limits.on_answer(first.entry, 0.5, 0, 0)
+    second = fixture.place(request)
+    assert isinstance(second, Placement)
+    assert second.entry.id != first.entry.id
+
+
+def test_request_is_rejected_at_once_when_all_targets_are_at_their_limits() -> (
+    None
+):
+    """Guards against holding a request that no target will take in time."""
+    fixture = Fixture()
+    for entry in fixture.registry.ready(PLAIN):
+        fixture.limits.on_answer(entry, 2.0, 0, 0)
+    rejection = fixture.place(make_request(None))
+    assert isinstance(rejection, Rejection)
+    assert rejection.reason == 'target_limits'
+    assert 0.2 <= rejection.retry_after_seconds <= 1.7
+    assert isinstance(fixture.place(make_request(None), 1.0), Placement)
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -23,6 +23,7 @@
 )
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
 from dotterelhatch.core.rejections import RejectedRequests
+from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
 from dotterelhatch.ids import (
     CauseId,
@@ -98,6 +99,16 @@
         ),
         known_addresses=st.lists(_NAMES, max_size=3).map(tuple),
         crash_evidence=st.none() | _EVIDENCE,
+        target_limits=st.lists(
+            st.builds(
+                LimitReport,
+                _NAMES.map(TargetId),
+                _COUNTS,
+                st.none() | st.floats(0, 100),
+                st.floats(0, 100),
+            ),
+            max_size=2,
+        ).map(tuple),
     ),
     is_source_seen=st.booleans(),
     requests_per_second=_COUNTS.map(float),
