Forget the causes of a rejected set that a smaller one replaces

What callers saw: nothing yet; requests with a cause of the former set would have been sent to one target only, for as long as the router runs.

Cause: the counts of suspects were not reduced when a set was replaced.

Ruled out: sets that are cleared or expire; both reduce the counts.

Change: a replaced set is forgotten like any other.

Conclusion: found by reading the change again.

--- a/src/dotterelhatch/core/crashcauses.py
+++ b/src/dotterelhatch/core/crashcauses.py
@@ -522,11 +522,9 @@
             return
         if any(other < causes for other in self._rejected):
             return
-        self._rejected = {
-            other: rejection
-            for other, rejection in self._rejected.items()
-            if not causes < other
-        }
+        for other in tuple(self._rejected):
+            if causes < other:
+                self._forget_set(other)
         self._rejected[causes] = added
         self._suspects.update(causes)
         if len(self._rejected) > _MAX_SETS_COUNT:
--- a/tests/test_crashcauses.py
+++ b/tests/test_crashcauses.py
@@ -300,6 +300,22 @@
     assert all(later > earlier for earlier, later in zip(waits, waits[1:]))
 
 
+def test_part_of_a_former_set_is_no_suspect_any_more() -> None:
+    """Guards against isolating requests for a set that has been narrowed.
+
+    A whole request and its part are rejected, and later the part alone.
+    """
+    router = _router()
+    for number in range(3):
+        _crash(router, number, _causes('deadly', request='same'))
+    router.decide(4, INTERVAL_SECONDS)
+    _crash(router, 5, _causes('deadly', request='second'))
+    router.decide(6, INTERVAL_SECONDS)
+    router.decide(700, INTERVAL_SECONDS)
+    same = request_causes(OrganisationId('o1'), None, Fingerprint('same'))
+    assert not router.is_suspect(same)
+
+
 def test_names_of_a_caller_do_not_fill_the_record() -> None:
     """Guards against memory and heartbeats that grow with names of callers."""
     router = _router()
