Measure the time of the load on a limited target in its test

What was wrong: the bound came from the time that the load takes on an idle machine. On a busy one it takes longer, and the target may get more.

Change: the bound is the limit times the time that it took. It is as strict: the factor and the slack of the users are the same.

Ruled out: a virtual clock; the test is of real connections.

Conclusion: the verdict doesn't depend on the speed of the machine.

--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -15,8 +15,12 @@
 ALLOWED_SLACK_COUNT = 5
 
 
-async def _load(routers: list[GatewayFixture], statuses: list[int]) -> None:
-    """Send requests to the routers in turn, at a steady rate."""
+async def _load(routers: list[GatewayFixture], statuses: list[int]) -> float:
+    """Send requests to the routers in turn, at a steady rate.
+
+    :returns: the requests that the limit stands for in the time that it took.
+    """
+    started_seconds = await curio.clock()
     tasks = []
     for number in range(REQUESTS_COUNT):
         router = routers[number % len(routers)]
@@ -28,6 +32,7 @@
         await curio.sleep(SPACING_SECONDS)
     for task in tasks:
         statuses.append((await task.join()).status)
+    return LIMIT_PER_SECOND * (await curio.clock() - started_seconds)
 
 
 @pytest.mark.parametrize('routers_count', [1, 3])
@@ -50,9 +55,8 @@
             await _load(routers, [])
             await curio.sleep(SETTLING_SECONDS)
             before_count = len(limited.executed_ids)
-            await _load(routers, statuses)
-        allowed = REQUESTS_COUNT * SPACING_SECONDS * LIMIT_PER_SECOND
-        allowed = allowed * ALLOWED_FACTOR + ALLOWED_SLACK_COUNT
+            expected = await _load(routers, statuses)
+        allowed = expected * ALLOWED_FACTOR + ALLOWED_SLACK_COUNT
         assert len(limited.executed_ids) - before_count <= allowed
         assert statuses == [200] * REQUESTS_COUNT
 
@@ -77,10 +81,9 @@
         ) as routers:
             await _load(routers, [])
             before_count = len(limited.executed_ids)
-            await _load(routers, statuses)
+            expected = await _load(routers, statuses)
         run_count = len(limited.executed_ids) - before_count
-        expected = REQUESTS_COUNT * SPACING_SECONDS * LIMIT_PER_SECOND
-        assert expected / 2 <= run_count
+        assert run_count >= min(expected, REQUESTS_COUNT) / 2
         assert run_count <= expected * ALLOWED_FACTOR + ALLOWED_SLACK_COUNT
         assert statuses.count(200) == run_count
         assert statuses.count(429) == REQUESTS_COUNT - run_count
