Blame no part of a prompt without an organisation

What callers saw: nothing yet; a caller of a public route could have had the parts of other callers rejected.

Cause: causes include the organisation so that nobody is judged by what others send under a name. Callers of public routes have none, so all of them shared one, found by reading the change again.

Ruled out: the fingerprint of the whole request, which includes path and body; it stays a cause.

Change: without an organisation only the whole request is a cause.

Figures: the new test failed before and passes.

Conclusion: requests with an organisation are judged as before.

--- a/src/dotterelhatch/core/crashcauses.py
+++ b/src/dotterelhatch/core/crashcauses.py
@@ -21,7 +21,7 @@
     find_blamed,
 )
 from dotterelhatch.core.placement import coordinator_of
-from dotterelhatch.core.prompts import Prompt
+from dotterelhatch.core.prompts import Prompt, PromptPart
 from dotterelhatch.ids import (
     CauseId,
     Fingerprint,
@@ -145,9 +145,12 @@
     """Return what may be the cause if a request crashes its target.
 
     Callers choose the names of parts. Each cause includes the organisation, so
-    that nobody can have the prompts of another organisation rejected.
+    that no name is judged by what others send under it. Without an organisation
+    only the whole request is a cause.
     """
-    parts = prompt.shared_parts[:_MAX_PARTS_COUNT] if prompt else ()
+    parts: tuple[PromptPart, ...] = ()
+    if prompt is not None and organisation is not None:
+        parts = prompt.shared_parts[:_MAX_PARTS_COUNT]
     names = [f'part/{part.id}' for part in parts]
     names.append(f'request/{fingerprint}')
     causes = (_digest(f'{organisation}\0{name}') for name in names)
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -626,7 +626,8 @@
     """
     prompt = routed.metadata.prompt
     parts = prompt.shared_parts[:_MAX_LOGGED_PARTS_COUNT] if prompt else ()
-    causes = (*routed.crash_causes[: len(parts)], routed.crash_causes[-1])
+    *part_causes, request_cause = routed.crash_causes
+    causes = (*part_causes[: len(parts)], request_cause)
     return {
         'shared_parts': [part.id[:_MAX_LOGGED_PART_ID_CHARS] for part in parts],
         'crash_causes': [format_cause(cause) for cause in causes],
--- a/tests/test_crashcauses.py
+++ b/tests/test_crashcauses.py
@@ -169,6 +169,28 @@
     assert router.verdict(forged, 20) is CrashVerdict.REJECT
 
 
+def test_part_of_another_anonymous_caller_is_not_rejected() -> None:
+    """Guards against callers of a public route that condemn each other's parts.
+
+    Nothing tells them apart, so a part is no cause there; a request that is
+    sent again as a whole is.
+    """
+    prompt = Prompt((PromptPart('victim', 9), PromptPart('last', 9)), 99, 9)
+
+    def causes(request: str) -> tuple:
+        return request_causes(None, prompt, Fingerprint(request))
+
+    router = _router()
+    for number in range(4):
+        _crash(router, number, causes(f'forged{number}'))
+    router.decide(6, INTERVAL_SECONDS)
+    assert router.verdict(causes('sound'), 6) is CrashVerdict.CLEAR
+    for number in range(10, 14):
+        _crash(router, number, causes('same'))
+    router.decide(16, INTERVAL_SECONDS)
+    assert router.verdict(causes('same'), 16) is CrashVerdict.REJECT
+
+
 def test_sound_part_beside_a_deadly_one_in_each_request_is_served() -> None:
     """Guards against losing all requests of a session with a deadly document.
 
