List two ways to have the parts of others rejected, failing

What callers saw: nothing yet. An organisation that crashes engines under ever new part names can get a rare part of another rejected that was beside three of the crashes; 130 requests with 64 names each push out what is known of others.

Cause: blame falls on what is left when nothing explains the crashes, and the record of completed causes is one for all organisations.

Conclusion: open.

--- a/tests/test_crashcauses.py
+++ b/tests/test_crashcauses.py
@@ -191,6 +191,41 @@
     assert router.verdict(causes('same'), 16) is CrashVerdict.REJECT
 
 
+def test_crashes_under_ever_new_names_condemn_no_part_of_others() -> None:
+    """Guards against an organisation that crashes targets to harm another.
+
+    It names the same content anew in each request, so that nothing explains
+    the crashes but the rare part of another organisation beside them.
+    """
+    router = _router()
+    for number in range(4):
+        hostile = _causes(
+            f'new{number}', organisation='o2', request=f'{number}'
+        )
+        _crash(router, number, hostile, _causes('rare', request=f'v{number}'))
+    router.decide(6, INTERVAL_SECONDS)
+    sound = _causes('rare', request='sound')
+    assert router.verdict(sound, 6) is CrashVerdict.CLEAR
+
+
+def test_names_of_one_organisation_do_not_evict_the_history_of_others() -> None:
+    """Guards against a caller that makes the parts of others look unknown.
+
+    What targets have completed is blamed last; many names push it out of the
+    record that all organisations share.
+    """
+    router = _router()
+    busy = _causes('busy', request='b')
+    router.on_completed(busy, 0)
+    for number in range(130):
+        names = [f'p{number}-{one}' for one in range(64)]
+        router.on_completed(_causes(*names, organisation='o2'), 1)
+    _crash(router, 2, busy)
+    report = router.report(2)
+    assert report is not None
+    assert busy[0] in {one.cause for one in report.completed}
+
+
 def test_sound_part_beside_a_deadly_one_in_each_request_is_served() -> None:
     """Guards against losing all requests of a session with a deadly document.
 
