Serve the requests that arrive with a planned stop before the process ends

Callers whose request had just arrived as a router stopped were cut off without an answer: the connection was accepted, or its idle wait ended, but its task had not run yet, so that no exchange was in progress and drain() returned at once. A caller that had connected before the stop and whose request was still on the way found the connection closed too.

Ruled out: the accept queue itself, which is read to its end, and requests that wait at the gate, which drain() counts.

The server now keeps the connections that may still carry such a request, and drain() waits for them; a new connection gets 0.3 s for its first request, so one that sends nothing delays the end by no more than that.

Two tests waited for an idle connection by the truth of an object that is always true, that is not at all; they wait for it now.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -98,6 +98,8 @@
 # the operating system.
 _MAX_WAITING_COUNT: Final = 64
 _DRAIN_CHECK_SECONDS: Final = 0.02
+# Several round trips to a caller that has connected just before a stop.
+_FIRST_REQUEST_SECONDS: Final = 0.3
 # Sent in turn, so that rejected callers do not return at the same time.
 _RETRY_AFTER_SECONDS: Final = (0.2, 0.5, 0.8, 0.3, 0.6, 0.4, 0.7)
 
@@ -267,6 +269,7 @@
     :ivar flow: organisation of its previous request, None before the first.
     :ivar on_unread: is called if the next request is rejected unread.
     :ivar is_let_in: whether the gate has let in the next request already.
+    :ivar has_had_request: whether a request was read from it.
     """
 
     def __init__(self, stream: SocketStream, limits: HttpLimits) -> None:
@@ -277,6 +280,7 @@
         self.flow: Flow = None
         self.on_unread: Callable[[], None] | None = None
         self.is_let_in = False
+        self.has_had_request = False
         self.request_complete = False
         self._limits = limits
         self._pipelined_bytes = 0
@@ -315,6 +319,7 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
+        self.has_had_request = True
         head = RequestHead(
             method=event.method.decode(HEAD_ENCODING),
             path=event.target.decode(HEAD_ENCODING),
@@ -538,6 +543,9 @@
         self._stopping = False
         self._announces_close = False
         self._connections: dict[_Connection, Any] = {}
+        # New connections, and idle ones that a stop closes: a request may have
+        # arrived on them that is not read yet.
+        self._awaited: set[_Connection] = set()
         self.counts = ConnectionCounts()
         self._idle = IdleConnections[_Connection, Any]()
         self._gate = IntakeGate(clock, is_open=not is_gated)
@@ -613,6 +621,7 @@
             with contextlib.suppress(OSError):
                 await self._accept_rest(listener)
             listener.close()
+        self._awaited.update(self._idle.connections())
         for connection in self._connections:
             connection.must_close = True
         for task in self._idle.tasks():
@@ -627,8 +636,10 @@
         self._announces_close = True
 
     async def drain(self) -> None:
-        """Wait until no exchange is in progress."""
-        while self._exchanges_count or self._gate.waiting_count:
+        """Wait until no exchange is in progress, or about to begin."""
+        while (
+            self._exchanges_count or self._gate.waiting_count or self._awaited
+        ):
             self._drained.clear()
             await curio.ignore_after(_DRAIN_CHECK_SECONDS, self._drained.wait)
 
@@ -707,6 +718,7 @@
             serve = self._reject
         task = await curio.spawn(serve, connection, daemon=True)
         self._connections[connection] = task
+        self._awaited.add(connection)
 
     async def _close_oldest_idle(self) -> bool:
         task = self._idle.pop_excess()
@@ -724,6 +736,7 @@
         connection.must_close = True
         try:
             await self._send_early_error(connection, error)
+            self._awaited.discard(connection)
             await connection.finish()
         except DisconnectError as failure:
             _LOGGER.debug(
@@ -751,12 +764,20 @@
     def _close(self, connection: _Connection) -> None:
         connection.stream.close()
         self._connections.pop(connection, None)
+        self._awaited.discard(connection)
 
     async def _wait_request(self, connection: _Connection) -> bool:
-        if connection.has_buffered:
-            return True
-        if self._stopping:
-            return connection.stream.is_readable()
+        """Return whether a request can be read, once that is known."""
+        try:
+            if connection.has_buffered:
+                return True
+            if self._stopping:
+                return await self._wait_last_request(connection)
+            return await self._wait_idle(connection)
+        finally:
+            self._awaited.discard(connection)
+
+    async def _wait_idle(self, connection: _Connection) -> bool:
         task = await curio.current_task()
         flow = connection.flow
         self._idle.add(flow, connection, task)
@@ -767,16 +788,28 @@
             await curio.check_cancellation()
         except _IdleClosedError:
             # The task continues after this wait, so it must be cancellable
-            # again. A request that has already arrived is served.
+            # again.
             task.cancelled = False
             connection.must_close = True
-            return connection.stream.is_readable()
+            return await self._wait_last_request(connection)
         except WaitTimeoutError:
             return False
         finally:
             self._idle.discard(flow, connection)
         return True
 
+    async def _wait_last_request(self, connection: _Connection) -> bool:
+        """Return whether a connection that is to be closed has a request.
+
+        After the start of a stop a new connection gets time for its first one:
+        its caller has not been told to use another address.
+        """
+        is_awaited = self._stopping and not connection.has_had_request
+        if is_awaited and not connection.stream.is_readable():
+            with contextlib.suppress(WaitTimeoutError):
+                await connection.stream.wait_readable(_FIRST_REQUEST_SECONDS)
+        return connection.stream.is_readable()
+
     async def _count_exchange(self, exchange: Awaitable[None]) -> None:
         self._exchanges_count += 1
         try:
--- a/src/dotterelhatch/net/idle.py
+++ b/src/dotterelhatch/net/idle.py
@@ -34,6 +34,12 @@
             task for tasks in self._tasks.values() for task in tasks.values()
         ]
 
+    def connections(self) -> list[ConnectionT]:
+        """Return all connections."""
+        return [
+            connection for tasks in self._tasks.values() for connection in tasks
+        ]
+
     def pop_excess(self) -> TaskT | None:
         """Remove the connection to close if there are too many.
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -396,7 +396,7 @@
         if reused:
             stream = await open_connection(address, GET % b'/first')
             await read_until_suffix(stream, b'GET /first ')
-            while not server._idle:
+            while not server._idle.tasks():
                 await curio.sleep(0)
             await stream.write(GET % b'/last')
         else:
@@ -407,6 +407,75 @@
     run_with_server(test)
 
 
+@pytest.mark.parametrize('reused', [True, False])
+def test_drain_waits_for_requests_that_arrived_with_the_stop(
+    reused: bool,
+) -> None:
+    """Guards against a stop that ends before an accepted request is read.
+
+    The task of its connection has not run since, so that no exchange is in
+    progress yet. The process ends after the drain.
+    """
+
+
+    async def forward(exchange: ServerExchange) -> None:
+        await curio.sleep(0.05)
+        await echo(exchange)
+
+    async def main() -> None:
+        async with HttpServer('127.0.0.1:0', forward, LIMITS) as server:
+            stream = await open_connection(f'127.0.0.1:{server.port}')
+            if reused:
+                await stream.write(GET % b'/first')
+                await read_until_suffix(stream, b'GET /first ')
+                while not server._idle.tasks():
+                    await curio.sleep(0)
+            await stream.write(GET % b'/last')
+            await server.stop_accepting()
+            await server.drain()
+        assert (await read_all(stream)).endswith(b'GET /last ')
+
+    curio.run(main)
+
+
+def test_a_connection_opened_before_the_stop_may_send_its_request() -> None:
+    """Guards against a cut between a handshake and the request after it.
+
+    The caller has connected before the stop, and its request is on the way.
+    """
+
+    async def main() -> None:
+        async with HttpServer('127.0.0.1:0', echo, LIMITS) as server:
+            stream = await open_connection(f'127.0.0.1:{server.port}')
+            while not server._idle.tasks():
+                await curio.sleep(0)
+            await server.stop_accepting()
+            drain = await curio.spawn(server.drain)
+            await curio.sleep(0)
+            await stream.write(GET % b'/late')
+            await drain.join()
+        content = await read_all(stream)
+        assert content.endswith(b'GET /late ')
+        assert b'Connection: close' in content
+
+    curio.run(main)
+
+
+def test_a_connection_without_a_request_does_not_hold_up_a_stop() -> None:
+    """A caller that only connects delays the end of the process briefly."""
+
+    async def main() -> None:
+        async with HttpServer('127.0.0.1:0', echo, LIMITS) as server:
+            stream = await open_connection(f'127.0.0.1:{server.port}')
+            while not server._idle.tasks():
+                await curio.sleep(0)
+            await server.stop_accepting()
+            await curio.timeout_after(5, server.drain)
+        assert not await read_all(stream)
+
+    curio.run(main)
+
+
 def test_idle_connection_with_a_request_is_not_closed() -> None:
     """Closing an idle connection must not lose a request that just arrived.
 
@@ -417,7 +486,7 @@
     async def test(server: HttpServer, address: str) -> None:
         stream = await open_connection(address, GET % b'/first')
         await read_until_suffix(stream, b'GET /first ')
-        while not server._idle:
+        while not server._idle.tasks():
             await curio.sleep(0)
         await stream.write(GET % b'/last')
         assert await server._close_oldest_idle()
