Confirm what a router knows before it acts on it after a suspension

A process that was paused for seconds went on with what it knew before: a caller whose key had been taken away meanwhile was served, and a server that had said that it leaves got a new request.

Cause: a pause was only logged, half a second later. The long poll that had waited since before it was not repeated, requests in the sockets were served first, and the heartbeats that had queued up, the oldest of them first, were taken for the state of the peers now, such as that the sources had been seen.

The event loop now notices a gap of a second at its first wake-up, before any task runs. Queued heartbeats are dropped, calls for changes made before are aborted and repeated without a wait, and requests, the held ones too, wait until a response to a call made since, or a peer in touch with the sources, confirms each document; at most 1 s, after which the sources count as down. The line clock_gap comes at the wake-up and counts the dropped heartbeats.

Not covered: a pause between the choice of a target and the write of the request to its socket.

Heartbeats are also read in batches, at a twentieth of their interval: at 78 routers one wake-up serves four of them, and a burst lets other tasks run. An error of any kind in a datagram is logged and counted, and the next one is read; it ended the task that receives them before. The same for an error of any kind at a reload of the settings, which ended the process.

--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -173,6 +173,7 @@
             await curio.sleep(hold_seconds)
             self._state.decide_crash_causes()
         await self._gateway.crash_prober.report_news()
+        await self._state.wait_confirmed()
         self._held_seconds += self._state.clock() - started_seconds
         self._reject_if_crashing(self._state.clock())
         return self._place(
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -53,9 +53,6 @@
 # a newer version after this time, the document is fetched from the peer.
 _PEER_FETCH_DELAY_SECONDS: Final = 0.5
 _MAINTENANCE_INTERVAL_SECONDS: Final = 0.5
-# A longer time between two maintenance steps means that the process was
-# suspended.
-_CLOCK_GAP_SECONDS: Final = 2.0
 # Targets close idle connections after a timeout that they announce. A request
 # on a connection that has been idle for longer than this could be lost.
 _POOL_IDLE_SECONDS: Final = 4.0
@@ -80,6 +77,10 @@
 # 2.5 s or longer and a report is valid for 2 s, so several reports in a row may
 # be lost.
 _TOTALS_INTERVAL_SECONDS: Final = 0.2
+# Heartbeats are read in batches, at intervals of this part of the one at which
+# each peer sends them: loads are older by a twentieth, and a router of a large
+# fleet wakes up a quarter as often.
+_BATCH_RATIO: Final = 0.05
 # Requests wait for these decisions.
 _DECISION_INTERVAL_SECONDS: Final = 0.1
 
@@ -148,6 +149,8 @@
                 MetricsHandler(self.state.metrics, settings.metrics_path),
             ),
         )
+        if selector is not None and selector.suspensions is not None:
+            selector.suspensions.subscribe(self.on_suspended)
         self._stack = AsyncExitStack()
         self._tasks: list[curio.Task] = []
 
@@ -212,9 +215,35 @@
             for router in advertised_routers[:_MAX_CALLER_ADDRESSES_COUNT]
         ]
 
-    def on_source_response(self, document: str) -> None:
-        """Record the time at which the source of a document responded."""
-        self.state.source_response_seconds[document] = self.state.clock()
+    def on_source_response(
+        self, document: str, called_seconds: float | None = None
+    ) -> None:
+        """Record the time at which the source of a document responded.
+
+        :param called_seconds: time of the call, None for one made just now.
+        """
+        state = self.state
+        now_seconds = state.clock()
+        state.source_response_seconds[document] = now_seconds
+        state.confirmations.on_source_response(
+            document, now_seconds if called_seconds is None else called_seconds
+        )
+
+    def on_suspended(self, gap_seconds: float) -> None:
+        """Trust nothing that was received before the process runs again.
+
+        :param gap_seconds: time in which it did not run.
+        """
+        state = self.state
+        outdated_count = self._heartbeats.discard_queued()
+        state.confirmations.on_resumed(
+            self.snapshot_store.versions(), state.clock()
+        )
+        log_decision(
+            Decision.CLOCK_GAP,
+            gap_seconds=gap_seconds,
+            outdated_heartbeats_count=outdated_count,
+        )
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply the settings that can change in a running process."""
@@ -263,6 +292,10 @@
         now_seconds = state.clock()
         if not state.peers.on_heartbeat(heartbeat, now_seconds):
             return
+        if heartbeat.is_source_seen and not state.confirmations.is_complete:
+            state.confirmations.on_peer(
+                heartbeat.snapshot_versions, self.snapshot_store.versions()
+            )
         state.load_tracker.on_report(
             heartbeat.router, heartbeat.loads, now_seconds
         )
@@ -322,7 +355,9 @@
         while True:
             await self._run_step(self._send_heartbeats)
             peers_count = len(self.state.peers.live(self.state.clock()))
-            await curio.sleep(heartbeat_interval_seconds(peers_count))
+            interval_seconds = heartbeat_interval_seconds(peers_count)
+            self._heartbeats.batch_seconds = interval_seconds * _BATCH_RATIO
+            await curio.sleep(interval_seconds)
 
     async def report_news(self) -> None:
         """Tell the peers at once what this router knows of crashes."""
@@ -411,14 +446,8 @@
         )
 
     async def _run_maintenance(self) -> None:
-        previous_seconds = self.state.clock()
         while True:
             await curio.sleep(_MAINTENANCE_INTERVAL_SECONDS)
-            now_seconds = self.state.clock()
-            gap_seconds = now_seconds - previous_seconds
-            if gap_seconds > _CLOCK_GAP_SECONDS:
-                log_decision(Decision.CLOCK_GAP, gap_seconds=gap_seconds)
-            previous_seconds = now_seconds
             await self._run_step(self._maintain)
 
     async def _run_load_report(self) -> None:
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -56,6 +56,9 @@
 # Sums of the counts of a large fleet fit into 64 bits.
 _MAX_COUNT: Final = 10**17
 _MAX_AGE_SECONDS: Final = 10**9
+# More than fit into the receive buffer of a socket.
+_MAX_QUEUED_COUNT: Final = 10_000
+_MAX_DATAGRAMS_PER_ROUND_COUNT: Final = 16
 _WOULD_BLOCK: Final = (BlockingIOError, InterruptedError)
 
 HeartbeatHandler = Callable[[Heartbeat], Awaitable[None]]
@@ -189,6 +192,8 @@
     :param on_heartbeat: is awaited with each valid heartbeat; an exception
         is only logged.
     :param on_malformed: is called for each datagram that is dropped.
+    :ivar batch_seconds: time between two reads. Datagrams that arrive one by
+        one cost a wake-up of the event loop each.
     """
 
     def __init__(
@@ -198,6 +203,7 @@
         on_malformed: Callable[[], None],
     ) -> None:
         """Store the parameters without opening the socket."""
+        self.batch_seconds = 0.0
         self._address = address
         self._on_heartbeat = on_heartbeat
         self._on_malformed = on_malformed
@@ -234,35 +240,63 @@
         except OSError as error:
             _LOGGER.debug('could not send heartbeat to %s: %s', address, error)
 
+    def discard_queued(self) -> int:
+        """Drop the datagrams that have arrived and are not processed yet.
+
+        After a suspension they tell what was so before it, and nothing in them
+        shows when they were sent.
+
+        :returns: the number of dropped datagrams.
+        """
+        discarded_count = 0
+        if self._socket is not None:
+            while (
+                discarded_count < _MAX_QUEUED_COUNT
+                and _receive_nowait(self._socket) is not None
+            ):
+                discarded_count += 1
+        return discarded_count
+
     async def _receive(self, datagrams: socket.socket) -> None:
         while True:
             await _read_wait(datagrams.fileno())
-            datagram = _receive_nowait(datagrams)
-            while datagram:
-                await self._handle_datagram(datagram)
+            for _ in range(_MAX_DATAGRAMS_PER_ROUND_COUNT):
                 datagram = _receive_nowait(datagrams)
+                if datagram is None:
+                    break
+                await self._handle_datagram(datagram)
+            # Other tasks run, also while a burst of datagrams arrives.
+            await curio.sleep(self.batch_seconds)
 
     async def _handle_datagram(self, datagram: bytes) -> None:
+        """Process a datagram; whatever it contains, the next one is read."""
         try:
             heartbeat = decode_heartbeat(datagram)
             check_heartbeat(heartbeat)
         except ValueError as error:
             self._on_malformed()
             _LOGGER.warning('dropped an invalid datagram: %s', error)
-            return
+        except Exception:
+            self._on_malformed()
+            _LOGGER.exception('could not decode a datagram')
+        else:
+            await self._apply(heartbeat)
+
+    async def _apply(self, heartbeat: Heartbeat) -> None:
         try:
             await self._on_heartbeat(heartbeat)
         except Exception:
             _LOGGER.exception('could not apply a heartbeat')
 
 
-def _receive_nowait(datagrams: socket.socket) -> bytes:
+def _receive_nowait(datagrams: socket.socket) -> bytes | None:
+    """Return the next datagram, None if there is none."""
     try:
         return datagrams.recv(_MAX_DATAGRAM_BYTES)
     except _WOULD_BLOCK:
-        return b''
+        return None
     except OSError as error:
         # ICMP reports that an earlier datagram was sent to a closed port; the
         # socket remains usable.
         _LOGGER.debug('heartbeat socket reported an error: %s', error)
-        return b''
+        return None
--- a/src/dotterelhatch/gateway/lag.py
+++ b/src/dotterelhatch/gateway/lag.py
@@ -7,6 +7,8 @@
 
 import curio
 
+from dotterelhatch.gateway.suspension import SuspensionDetector
+
 __all__ = ('LoopLag', 'TimedSelector')
 
 _SAMPLE_INTERVAL_SECONDS: Final = 0.05
@@ -69,12 +71,18 @@
     processor time of the process would leave out the latter.
 
     :param clock: monotonic time in seconds.
+    :param suspensions: is told of each wake-up, before any task runs.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        suspensions: SuspensionDetector | None = None,
+    ) -> None:
         """Start without waiting time."""
         super().__init__()
         self.waited_seconds = 0.0
+        self.suspensions = suspensions
         self._clock = clock
 
     def select(
@@ -86,3 +94,5 @@
             return super().select(timeout)
         finally:
             self.waited_seconds += self._clock() - started_seconds
+            if self.suspensions is not None:
+                self.suspensions.on_awake()
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -127,6 +127,7 @@
         """
         metadata = self._handler.wire.decode_request(self.exchange.head)
         self._metadata = metadata
+        await self._state.wait_confirmed()
         route = self._find_route(metadata)
         organisation = self._authenticate(route, metadata)
         self._organisation = organisation
@@ -289,6 +290,7 @@
 
     async def _run_attempts(self, routed: RoutedRequest) -> None:
         """Run attempts until a response, the timeout or a disconnect."""
+        await self._state.wait_confirmed()
         runner = AttemptRunner(self._handler, self, routed)
         placement = runner.admit()
         limit_seconds = routed.limit_seconds - self.elapsed_seconds()
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
+import curio
+
 from dotterelhatch.core.admission import AdmissionWindow
 from dotterelhatch.core.arrivals import ArrivalRate, exceeds_peer_rates
 from dotterelhatch.core.balancer import Balancer, BalancerSettings
+from dotterelhatch.core.confirmations import DocumentConfirmations
 from dotterelhatch.core.crashblame import CauseSet
 from dotterelhatch.core.crashcauses import CrashCauses, format_cause
 from dotterelhatch.core.durations import RouteDurations
@@ -37,16 +40,17 @@
 from dotterelhatch.gateway.settings import GatewaySettings
 from dotterelhatch.ids import OrganisationId, RouterId, ServiceId, TargetId
 
-__all__ = ('GatewayState',)
+__all__ = ('GatewayState', 'boottime_seconds')
 
 # In a small fleet a reachable source responds at least every 3 s. In a large
 # fleet a call may wait for 10 s, but some peer got a response more recently.
 _SOURCE_TIMEOUT_SECONDS: Final = 4.5
 # Moves all connections of the callers of a router within a few seconds.
 _CLOSE_INTERVAL_SECONDS: Final = 0.02
+_CONFIRMATION_CHECK_SECONDS: Final = 0.01
 
 
-def _boottime_seconds() -> float:
+def boottime_seconds() -> float:
     """Return a monotonic time that includes system suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -63,7 +67,7 @@
         self,
         settings: GatewaySettings,
         rng: random.Random,
-        clock: Callable[[], float] = _boottime_seconds,
+        clock: Callable[[], float] = boottime_seconds,
     ) -> None:
         """Start with no routing table and no targets."""
         self.settings = settings
@@ -111,6 +115,7 @@
         self.ends_seconds = math.inf
         self.is_accepting = True
         self.source_response_seconds: dict[str, float] = {}
+        self.confirmations = DocumentConfirmations()
 
     @property
     def is_ready(self) -> bool:
@@ -130,12 +135,26 @@
         )
 
     def has_source_responded(self, now_seconds: float) -> bool:
-        """Return whether all sources recently responded to this router."""
+        """Return whether all sources recently responded to this router.
+
+        A response from before a suspension says nothing.
+        """
+        if not self.confirmations.is_complete:
+            return False
         oldest_seconds = min(
             self.source_response_seconds.values(), default=-math.inf
         )
         return now_seconds - oldest_seconds <= _SOURCE_TIMEOUT_SECONDS
 
+    async def wait_confirmed(self) -> None:
+        """Wait until what was known before a suspension is known to hold.
+
+        A request that arrived, or went on, just after it would otherwise use
+        a key that has been taken away, or a target that has left.
+        """
+        while self.confirmations.wait_seconds(self.clock()):
+            await curio.sleep(_CONFIRMATION_CHECK_SECONDS)
+
     def reload(self, settings: GatewaySettings) -> None:
         """Apply the settings that can change in a running process."""
         self.settings = settings
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import curio
 
@@ -21,11 +21,16 @@
 from dotterelhatch.platform.store import (
     HistoryExpiredError,
     RowChange,
+    RowsPage,
     Store,
     StoreError,
 )
 
-__all__ = ('RouterDiscovery', 'StoreWatcher', 'long_poll_seconds')
+__all__ = (
+    'RouterDiscovery',
+    'StoreWatcher',
+    'long_poll_seconds',
+)
 
 _LOGGER: Final = logging.getLogger(__name__)
 # A long poll without changes ends after this time, which limits how long a
@@ -57,6 +62,7 @@
 # A router without heartbeats for more reads than this will not return under
 # the same row, so its row is removed.
 _MAX_SILENT_READS_COUNT: Final = 6
+_SUSPENSION_CHECK_SECONDS: Final = 0.1
 
 
 def long_poll_seconds(routers_count: int) -> float:
@@ -70,6 +76,10 @@
     )
 
 
+class _PollAbortedError(curio.TaskCancelled):  # type: ignore[misc]
+    """Interrupts a call for changes without ending its task."""
+
+
 class StoreWatcher:
     """Keeps the routing table and the targets of a gateway up to date.
 
@@ -82,6 +92,7 @@
         self._store = store
         self._gateway = gateway
         self._regained_seconds: float | None = None
+        self._watches: list[_WatchState] = []
         self._mirrors = {
             name: TableMirror(name) for name in (_OPERATOR_TABLE, _SERVER_TABLE)
         }
@@ -96,8 +107,25 @@
         """Watch the rows of the servers."""
         await self._watch_table(self._mirrors[_SERVER_TABLE])
 
+    async def abort_outdated_polls(self) -> None:
+        """Call the store again once the process runs after a suspension.
+
+        A call that waits for changes since before it is answered only by the
+        next change.
+        """
+        while True:
+            await curio.sleep(_SUSPENSION_CHECK_SECONDS)
+            resumed_seconds = self._gateway.state.confirmations.resumed_seconds
+            for table_watch in self._watches:
+                poll = table_watch.poll
+                if poll is None or poll.called_seconds >= resumed_seconds:
+                    continue
+                table_watch.poll = None
+                await poll.task.cancel(exc=_PollAbortedError, blocking=False)
+
     async def _watch_table(self, mirror: TableMirror) -> None:
         table_watch = _WatchState(mirror)
+        self._watches.append(table_watch)
         while True:
             error = await self._try_read(table_watch)
             if error is None:
@@ -128,19 +156,16 @@
         """Read the whole table, or wait for its changes, once."""
         mirror = table_watch.mirror
         is_whole_table = table_watch.since is None
+        called_seconds = self._gateway.state.clock()
         if table_watch.since is None:
             page = await self._store.read_table(mirror.name)
             if not mirror.replace(page):
                 raise StoreError('the store returned an outdated table')
         else:
-            state = self._gateway.state
-            peers_count = len(state.peers.live(state.clock()))
-            wait_seconds = long_poll_seconds(peers_count + 1)
-            if table_watch.is_unreachable:
-                wait_seconds = 0
-            page = await self._store.read_changes(
-                mirror.name, table_watch.since, wait_seconds
-            )
+            polled_page = await self._poll(table_watch, table_watch.since)
+            if polled_page is None:
+                return
+            page = polled_page
             mirror.apply(page)
         table_watch.since = page.version
         self._gateway.state.metrics.malformed_inputs.labels('store').inc(
@@ -148,12 +173,35 @@
         )
         if table_watch.is_unreachable and mirror.name == _SERVER_TABLE:
             self._regained_seconds = self._gateway.state.clock()
-        self._gateway.on_source_response(mirror.name)
+        self._gateway.on_source_response(mirror.name, called_seconds)
         if is_whole_table or page.rows:
             await self._gateway.snapshot_store.put_if_newer(mirror.snapshot())
             if mirror.name == _SERVER_TABLE:
                 await curio.sleep(_BATCH_DELAY_SECONDS)
 
+    async def _poll(
+        self, table_watch: '_WatchState', since: int
+    ) -> RowsPage | None:
+        """Wait for changes; return None if the call was aborted."""
+        state = self._gateway.state
+        name = table_watch.mirror.name
+        peers_count = len(state.peers.live(state.clock()))
+        wait_seconds = long_poll_seconds(peers_count + 1)
+        if table_watch.is_unreachable or state.confirmations.needs(name):
+            wait_seconds = 0
+        task = await curio.current_task()
+        table_watch.poll = _Poll(task, state.clock())
+        try:
+            page = await self._store.read_changes(name, since, wait_seconds)
+            await curio.check_cancellation()
+        except _PollAbortedError:
+            # The task goes on, so it must be cancellable again.
+            task.cancelled = False
+            return None
+        finally:
+            table_watch.poll = None
+        return page
+
     def _on_read_failed(
         self, table_watch: '_WatchState', error: Exception
     ) -> None:
@@ -224,18 +272,28 @@
         return mirror
 
 
+@dataclass(frozen=True, slots=True)
+class _Poll:
+    """A call for changes in progress."""
+
+    task: Any
+    called_seconds: float
+
+
 @dataclass
 class _WatchState:
     """State of watching one table.
 
     :param since: version read last, None to read the whole table.
     :param is_unreachable: whether the last call failed.
+    :param poll: the call for changes in progress, None without one.
     """
 
     mirror: TableMirror
     since: int | None = None
     is_unreachable: bool = False
     backoff_seconds: float = _MIN_BACKOFF_SECONDS
+    poll: _Poll | None = None
 
 
 class RouterDiscovery:
@@ -270,6 +328,7 @@
         await self._try_call(self._remove_own_row)
 
     async def _try_call(self, call: Callable[[], Awaitable[None]]) -> None:
+        """Run a call; nothing waits for the task that an error would end."""
         try:
             await call()
         except StoreError as error:
--- a/src/dotterelhatch/platform/process.py
+++ b/src/dotterelhatch/platform/process.py
@@ -1,5 +1,6 @@
 """Runs a router on the platform until a signal stops it."""
 
+import logging
 import os
 import signal
 import sys
@@ -17,6 +18,8 @@
     log_decision,
 )
 from dotterelhatch.gateway.lag import TimedSelector
+from dotterelhatch.gateway.state import boottime_seconds
+from dotterelhatch.gateway.suspension import SuspensionDetector
 from dotterelhatch.net.http import HttpServer
 from dotterelhatch.platform.endpoints import DirectoryHandler, ReadinessHandler
 from dotterelhatch.platform.feeds import RouterDiscovery, StoreWatcher
@@ -28,6 +31,7 @@
 
 __all__ = ('main',)
 
+_LOGGER: Final = logging.getLogger(__name__)
 _SETTINGS_VARIABLE: Final = 'DOTTERELHATCH_CONFIG'
 _DEFAULT_PATH: Final = '/etc/dotterelhatch/settings.toml'
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -62,6 +66,7 @@
         for task in (
             watcher.watch_config,
             watcher.watch_targets,
+            watcher.abort_outdated_polls,
             discovery.run,
         ):
             await curio.spawn(task, daemon=True)
@@ -77,10 +82,13 @@
     """Reload the settings file; keep the settings if it is invalid."""
     try:
         settings = load_settings(path).gateway
+        gateway.reload(settings)
     except DotterelhatchError as error:
         log_decision(Decision.RELOADED, outcome='kept', reason=str(error))
-        return
-    gateway.reload(settings)
+    except Exception as unforeseen:
+        # The requests in progress would end with the process.
+        _LOGGER.exception('the settings could not be reloaded')
+        log_decision(Decision.RELOADED, outcome='kept', reason=repr(unforeseen))
 
 
 def main() -> int:
@@ -92,7 +100,7 @@
         sys.stderr.write(f'error: {error}\n')
         return error.spec.exit_code
     handler = configure_gateway_logging(process.gateway)
-    selector = TimedSelector()
+    selector = TimedSelector(suspensions=SuspensionDetector(boottime_seconds))
     return int(
         curio.run(_serve, path, process, handler, selector, selector=selector)
     )
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -46,6 +46,8 @@
     called_paths: list[str] = field(default_factory=list)
     version: int = 0
     oldest_version: int = 0
+    _stalled_feeds: int = 0
+    _feeds: int = 0
     _rows: dict[tuple[str, str], _StoredRow] = field(default_factory=dict)
 
     def put(self, table: str, key: str, document: Any) -> int:
@@ -69,6 +71,10 @@
         """Discard the history, so that open feeds get 410."""
         self.oldest_version = self.version + 1
 
+    def stall_feeds(self) -> None:
+        """Leave the feeds in progress without a response for good."""
+        self._stalled_feeds = self._feeds
+
     def keys(self, table: str) -> list[str]:
         """Return the keys of the rows that exist."""
         return [
@@ -133,12 +139,16 @@
         if since < self.oldest_version:
             await self._send_json(exchange, 410, {})
             return
+        self._feeds += 1
+        feed = self._feeds
         waited_ms = 0
         changes = self._list_changes(query['table'], since)
         while not changes and waited_ms < int(query['wait-ms']):
             await curio.sleep(0.01)
             waited_ms += 10
             changes = self._list_changes(query['table'], since)
+        if feed <= self._stalled_feeds:
+            await curio.sleep(3600)
         await self._send_json(
             exchange,
             200,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -417,7 +417,6 @@
     progress yet. The process ends after the drain.
     """
 
-
     async def forward(exchange: ServerExchange) -> None:
         await curio.sleep(0.05)
         await echo(exchange)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -19,6 +19,8 @@
 from tests.gateway_helpers import free_port, run_async
 from tests.test_platform_adapter import CONFIG, SERVER
 
+# Longer than the pauses that a router takes for ordinary delays.
+PAUSE_SECONDS = 1.5
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
 HEADERS = {
@@ -174,6 +176,58 @@
     assert server.executed_ids == ['r1']
 
 
+@pytest.mark.parametrize('change', ['key', 'target'])
+def test_a_process_that_was_paused_uses_nothing_it_may_no_longer(
+    built: Path, tmp_path: Path, change: str
+) -> None:
+    """Guards against a router that acts on what was true before a pause.
+
+    While it is paused, a key is taken away, or the only server says that it
+    leaves, and a caller sends a request. The answer to the call that waits
+    for changes does not arrive, so that the router has to ask again.
+    """
+
+    @run_async
+    async def check() -> None:
+        store = RowStore()
+        server = ServerStandIn('i-1')
+        async with (
+            HttpServer('127.0.0.1:0', store) as store_server,
+            HttpServer('127.0.0.1:0', server) as target_server,
+        ):
+            row = SERVER | {'address': f'127.0.0.1:{target_server.port}'}
+            store.put('op', 'config', CONFIG)
+            store.put('servers', 'i-1', row)
+            process = Process(built, tmp_path, f'127.0.0.1:{store_server.port}')
+            try:
+                await _until(process.is_ready)
+                process.popen.send_signal(signal.SIGSTOP)
+                store.stall_feeds()
+                if change == 'key':
+                    others = [{'name': 'hule930', 'api-keys': ['k2']}]
+                    store.put(
+                        'op',
+                        'config',
+                        CONFIG | {'version': 8, 'tenants': others},
+                    )
+                else:
+                    store.put('servers', 'i-1', row | {'state': 'draining'})
+                request = await curio.spawn(
+                    fetch, process.caller, 'POST', '/draft/1',
+                    tuple(HEADERS.items()), b'{}',
+                )  # fmt: skip
+                await curio.sleep(PAUSE_SECONDS)
+                process.popen.send_signal(signal.SIGCONT)
+                response = await request.join()
+                assert response.status == (401 if change == 'key' else 503)
+                assert not server.executed_ids
+                assert '"event": "clock_gap"' in process.output()
+            finally:
+                process.popen.kill()
+
+    check()
+
+
 def test_a_reload_during_startup_does_not_end_the_process() -> None:
     """Guards against a SIGHUP that terminates the process during imports.
 
