Spread the calls for changes of a large fleet over time

Cause: a router of a fleet of 34 or more waits 10 s in a call for changes, and counts its sources as current for 4.5 s after both have answered. It relies on peers in between. But routers that start together call together, and a change ends all calls at once, so that all of them are answered at the same times, and the two documents at different ones. The number of routers is not it: one router and 78 have the same schedule.

A call that all routers begin at the same time now waits for a random part of its time; the following calls stay apart. The number of calls grows by one for each change and router.

An unforeseen error in a read of the table of routers no longer ends the task that finds routers, and is logged.

--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -29,6 +30,7 @@
 __all__ = (
     'RouterDiscovery',
     'StoreWatcher',
+    'aligned_poll_seconds',
     'long_poll_seconds',
 )
 
@@ -76,6 +78,21 @@
     )
 
 
+def aligned_poll_seconds(routers_count: int, rng: random.Random) -> float:
+    """Return how long a call waits that all routers make at the same time.
+
+    They do so at a start and after each change. Without different lengths, all
+    of the following calls would end at the same times, and between them no
+    router would know that the source is up to date.
+
+    :param routers_count: routers that share changes by heartbeats.
+    """
+    wait_seconds = long_poll_seconds(routers_count)
+    if wait_seconds <= _MIN_LONG_POLL_SECONDS:
+        return wait_seconds
+    return rng.uniform(0, wait_seconds)
+
+
 class _PollAbortedError(curio.TaskCancelled):  # type: ignore[misc]
     """Interrupts a call for changes without ending its task."""
 
@@ -168,6 +185,7 @@
             page = polled_page
             mirror.apply(page)
         table_watch.since = page.version
+        table_watch.is_aligned = is_whole_table or bool(page.rows)
         self._gateway.state.metrics.malformed_inputs.labels('store').inc(
             page.malformed_count
         )
@@ -186,7 +204,10 @@
         state = self._gateway.state
         name = table_watch.mirror.name
         peers_count = len(state.peers.live(state.clock()))
-        wait_seconds = long_poll_seconds(peers_count + 1)
+        if table_watch.is_aligned:
+            wait_seconds = aligned_poll_seconds(peers_count + 1, state.rng)
+        else:
+            wait_seconds = long_poll_seconds(peers_count + 1)
         if table_watch.is_unreachable or state.confirmations.needs(name):
             wait_seconds = 0
         task = await curio.current_task()
@@ -286,12 +307,15 @@
 
     :param since: version read last, None to read the whole table.
     :param is_unreachable: whether the last call failed.
+    :param is_aligned: whether the last call of all routers ended at the same
+        time.
     :param poll: the call for changes in progress, None without one.
     """
 
     mirror: TableMirror
     since: int | None = None
     is_unreachable: bool = False
+    is_aligned: bool = True
     backoff_seconds: float = _MIN_BACKOFF_SECONDS
     poll: _Poll | None = None
 
@@ -333,6 +357,8 @@
             await call()
         except StoreError as error:
             _LOGGER.info('call to the router table failed: %s', error)
+        except Exception:
+            _LOGGER.exception('could not process the router table')
 
     async def _refresh(self) -> None:
         settings = self._gateway.settings
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,6 +16,7 @@
 from dotterelhatch.platform.feeds import (
     RouterDiscovery,
     StoreWatcher,
+    aligned_poll_seconds,
     long_poll_seconds,
 )
 from dotterelhatch.platform.mirror import TableMirror
@@ -115,6 +117,77 @@
     assert 2 * routers_count / wait_seconds <= 0.05 * 2000
 
 
+def _answer_times(
+    routers_count: int, rng: random.Random
+) -> list[tuple[list[float], ...]]:
+    """Return when the source answers each router, for both documents.
+
+    All routers start at 0, and a change of both documents ends their calls at
+    20 s.
+    """
+    times = []
+    for _ in range(routers_count):
+        documents = []
+        for _ in range(2):
+            answers = [0.0]
+            next_seconds = aligned_poll_seconds(routers_count, rng)
+            while next_seconds < 40:
+                if answers[-1] < 20 <= next_seconds:
+                    answers.append(20.0)
+                    next_seconds = 20 + aligned_poll_seconds(routers_count, rng)
+                    continue
+                answers.append(next_seconds)
+                next_seconds += long_poll_seconds(routers_count)
+            documents.append(answers)
+        times.append(tuple(documents))
+    return times
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('routers_count', [4, 16, 33, 78, 370])
+def test_some_router_has_always_been_answered_recently(
+    routers_count: int, seed: int
+) -> None:
+    """Guards against 503 instead of 404 or 401 while nothing is wrong.
+
+    Routers that start together call the store together. If the calls, which
+    wait for up to 10 s, also ended together, no router of the fleet would know
+    for half of the time that its documents are up to date.
+    """
+    times = _answer_times(routers_count, random.Random(seed))
+    for tenth in range(390):
+        now_seconds = tenth / 10
+        assert any(
+            all(
+                any(0 <= now_seconds - at <= 4.5 for at in answers)
+                for answers in documents
+            )
+            for documents in times
+        ), now_seconds
+
+
+@run_async
+async def test_an_unforeseen_error_does_not_end_the_discovery() -> None:
+    """Guards against a router that finds no other routers any more.
+
+    One read of the table of routers fails in a way that nothing expects.
+    """
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        address = f'127.0.0.1:{server.port}'
+        async with open_router(address, 'r1') as router:
+            await until(lambda: store.keys('dotterelhatch-routers'))
+            calls_count = 0
+
+            async def fail() -> None:
+                nonlocal calls_count
+                calls_count += 1
+                raise RuntimeError('unforeseen')
+
+            await router.discovery._try_call(fail)
+            assert calls_count == 1
+
+
 @run_async
 async def test_changes_of_a_group_of_servers_are_read_together() -> None:
     """Guards against one call to the store per server of a release.
