--- a/src/dotterelhatch/net/stream.py
+++ b/src/dotterelhatch/net/stream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import functools
 import ipaddress
 import re
 import socket
@@ -22,6 +23,8 @@
 
 _ADDRESS_PATTERN: Final = re.compile('([0-9.]+):([0-9]{1,5})')
 _MAX_PORT: Final = 65_535
+# Several times the routers and targets of a large fleet.
+_MAX_KNOWN_ADDRESSES_COUNT: Final = 8192
 _MAX_READ_BYTES: Final = 65536
 # A busy server accepts some hundred connections a second, and callers do not
 # wait for longer than a second.
@@ -39,10 +42,12 @@
     """A socket did not become ready within the timeout."""
 
 
+@functools.lru_cache(maxsize=_MAX_KNOWN_ADDRESSES_COUNT)
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port``.
 
-    A host name is no valid address, because resolving it would block.
+    A host name is no valid address, because resolving it would block. Most
+    addresses are used many times a second.
 
     :raises OSError: when it is not an IPv4 address with a port.
     """
--- a/tests/test_odd_heartbeats.py
+++ b/tests/test_odd_heartbeats.py
@@ -158,3 +158,68 @@
             await curio.sleep(0.01)
         counter = gateway.state.metrics.malformed_inputs.labels('heartbeat')
         assert counter._value.get() == len(odd)
+
+
+@run_async
+async def test_an_unforeseen_error_leaves_the_router_in_touch() -> None:
+    """Guards against a router that hears nothing of its peers any more.
+
+    The task that receives heartbeats ends at the first error that nobody
+    expected, and the process goes on without it.
+    """
+    gateway = Gateway(gateway_settings('r1'), PlatformWireFormat())
+    with pytest.MonkeyPatch.context() as patch:
+
+        def fail(content: bytes) -> Heartbeat:
+            patch.undo()
+            raise RuntimeError('unforeseen')
+
+        patch.setattr(heartbeats, 'decode_heartbeat', fail)
+        async with gateway:
+            for _ in range(2):
+                gateway._heartbeats.send(
+                    datagram(), gateway.settings.heartbeat_address
+                )
+            while not gateway.state.peers.live(gateway.state.clock()):
+                await curio.sleep(0.01)
+    counter = gateway.state.metrics.malformed_inputs.labels('heartbeat')
+    assert counter._value.get() == 1
+
+
+@run_async
+async def test_heartbeats_of_before_a_suspension_are_dropped() -> None:
+    """Guards against an old state of the peers that is taken for the present.
+
+    The datagrams waited in the socket while the process did not run.
+    """
+    gateway = Gateway(gateway_settings('r1'), PlatformWireFormat())
+    async with gateway:
+        for _ in range(3):
+            gateway._heartbeats.send(
+                datagram(), gateway.settings.heartbeat_address
+            )
+        gateway.on_suspended(5)
+        await curio.sleep(0.2)
+        assert not gateway.state.peers.live(gateway.state.clock())
+        gateway._heartbeats.send(datagram(), gateway.settings.heartbeat_address)
+        while not gateway.state.peers.live(gateway.state.clock()):
+            await curio.sleep(0.01)
+
+
+@run_async
+async def test_a_flood_of_datagrams_lets_other_tasks_run() -> None:
+    """Guards against an event loop that only receives heartbeats."""
+    gateway = Gateway(gateway_settings('r1'), PlatformWireFormat())
+    address = gateway.settings.heartbeat_address
+    async with gateway:
+        handled_count = 0
+
+        async def send_again(_: Heartbeat) -> None:
+            nonlocal handled_count
+            handled_count += 1
+            gateway._heartbeats.send(datagram(), address)
+
+        gateway._heartbeats._on_heartbeat = send_again
+        gateway._heartbeats.send(datagram(), address)
+        await curio.sleep(0.2)
+        assert handled_count
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -13,10 +13,13 @@
 import curio
 import pytest
 
+from dotterelhatch.gateway.daemon import Gateway
 from dotterelhatch.net.http import HttpError, HttpServer, Response, fetch
+from dotterelhatch.platform import process as platform_process
+from dotterelhatch.platform.wire import PlatformWireFormat
 from standins.row_store import RowStore
 from standins.server import ServerStandIn
-from tests.gateway_helpers import free_port, run_async
+from tests.gateway_helpers import free_port, gateway_settings, run_async
 from tests.test_platform_adapter import CONFIG, SERVER
 
 # Longer than the pauses that a router takes for ordinary delays.
@@ -255,6 +258,24 @@
     assert ended.returncode == 7
 
 
+def test_an_unforeseen_error_at_a_reload_keeps_the_process(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    """Guards against a settings file that ends the process as it is read.
+
+    The requests in progress would end with it.
+    """
+
+    def fail(_path: Path) -> None:
+        raise RuntimeError('unforeseen')
+
+    gateway = Gateway(gateway_settings(), PlatformWireFormat())
+    settings = gateway.settings
+    monkeypatch.setattr(platform_process, 'load_settings', fail)
+    platform_process._reload(tmp_path, gateway)
+    assert gateway.settings is settings
+
+
 def test_invalid_settings_end_the_process_with_a_message(
     built: Path, tmp_path: Path
 ) -> None:
