Send HEAD requests on connections of their own

A late copy of an answer cost the caller of the next request its answer if one of the two requests was a HEAD: the length of a response depends on the method of its request, so that the body of the copy was taken for the next head, or the next head for a body, and the request that had run ended in an error.

HEAD now takes a new connection, which is not used again.

--- a/src/dotterelhatch/net/targets.py
+++ b/src/dotterelhatch/net/targets.py
@@ -56,6 +56,7 @@
 _KEEP_ALIVE_MARGIN_SECONDS: Final = 0.5
 _MAX_KEEP_ALIVE_DIGITS_COUNT: Final = 9
 _MAX_HEAD_BYTES: Final = 65_536
+_HEAD_METHOD: Final = 'HEAD'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _SERVER_ERROR_STATUS: Final = 500
 
@@ -159,6 +160,7 @@
         self.eof_received = False
         self.is_sending = False
         self.was_reused = False
+        self.may_be_reused = True
         self._sent_ids: set[int] = set()
 
     @property
@@ -451,6 +453,9 @@
             idempotent.
         :raises TargetFailure: stage NOT_SENT or SENT.
         """
+        # The length of a response depends on the method of its request. With
+        # one method on a connection, the end of a late duplicate is known.
+        fresh = fresh or head.method == _HEAD_METHOD
         connection = None if fresh else self._take_idle(address, request_id)
         if connection is not None:
             response = await self._try_reused(
@@ -490,7 +495,11 @@
         """Return a connection to the pool after a complete response."""
         idle = self._idle.setdefault(connection.address, [])
         full = len(idle) >= self.pool_limits.per_target_count
-        is_kept = connection.is_complete() and not connection.is_exhausted
+        is_kept = (
+            connection.is_complete()
+            and connection.may_be_reused
+            and not connection.is_exhausted
+        )
         if full or self._closed or not is_kept:
             connection.stream.close()
             return
@@ -602,6 +611,7 @@
         limits: ServiceLimits,
     ) -> TargetResponse:
         connection.remember(request_id)
+        connection.may_be_reused = head.method != _HEAD_METHOD
         try:
             event = await self._send_and_wait(
                 connection,
@@ -762,7 +772,7 @@
 
 
 def _is_delimited(method: str, event: Any) -> bool:
-    if method == 'HEAD' or event.status_code in _BODILESS_STATUSES:
+    if method == _HEAD_METHOD or event.status_code in _BODILESS_STATUSES:
         return True
     headers = decode_headers(event.headers)
     return any(
