Wait for more bytes instead of asking for them twice

Each event of a stream cost a router two reads, of which the first found nothing (14,754 for 6,765 events under a profiler). After a read that left the socket empty, the next one waits first.

--- a/src/dotterelhatch/net/stream.py
+++ b/src/dotterelhatch/net/stream.py
@@ -86,6 +86,7 @@
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = connected
         self._operations_since_yield = 0
+        self._is_drained = False
         self._waiting_count = 0
         self._closing = False
         self._resetting = False
@@ -125,10 +126,11 @@
         """
         await self._yield_periodically()
         while True:
-            try:
-                return self._socket.recv(_MAX_READ_BYTES)
-            except _WOULD_BLOCK:
+            if self._is_drained:
                 await self.wait_readable(timeout_seconds)
+            content = self.read_nowait()
+            if content is not None:
+                return content
 
     def read_nowait(self) -> bytes | None:
         """Return the bytes that have arrived, None if there are none.
@@ -136,9 +138,13 @@
         The result is empty at the end of the stream.
         """
         try:
-            return self._socket.recv(_MAX_READ_BYTES)
+            content = self._socket.recv(_MAX_READ_BYTES)
         except _WOULD_BLOCK:
+            self._is_drained = True
             return None
+        # Another call would nearly always find nothing.
+        self._is_drained = len(content) < _MAX_READ_BYTES
+        return content
 
     async def write(
         self, content: bytes, timeout_seconds: float | None = None
@@ -167,6 +173,7 @@
         :raises WaitTimeoutError: when it is not readable within the timeout.
         """
         await self._wait(_read_wait, timeout_seconds)
+        self._is_drained = False
 
     @property
     def fileno(self) -> int:
