End a request whose body does not arrive within its time limit

A caller that sent its body a byte now and then held a request for up to 60 s, also on a route of 1.5 s: the limit of the route began to count down, but nothing ended the read of the body. The answer is 504 and says that the request has not run.

--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -154,10 +154,25 @@
         self.decision_facts = {'service': service.id}
         self._reject_if_stopping(route, metadata)
         self._reject_if_overloaded(route, service, metadata)
-        body = await self.exchange.read_body(table.limits.max_body_bytes)
+        body = await self._read_body(
+            table.limits.max_body_bytes, time_limit_seconds(route, metadata)
+        )
         routed = RoutedRequest(route, service, organisation, metadata, body)
         await self._run_attempts(routed)
 
+    async def _read_body(self, max_bytes: int, limit_seconds: float) -> bytes:
+        """Return the body, which may arrive until the time limit.
+
+        A caller that sends a byte now and then would otherwise hold a request
+        for longer than its route allows.
+        """
+        remaining_seconds = max(0, limit_seconds - self.elapsed_seconds())
+        try:
+            async with curio.timeout_after(remaining_seconds):
+                return await self.exchange.read_body(max_bytes)
+        except curio.TaskTimeout:
+            raise self._timeout_error() from None
+
     async def end(self) -> None:
         """End the attempts, because the process stops."""
         if self._attempts_task is not None:
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -1,13 +1,17 @@
-"""Streams that are slow, and streams that stall with a byte now and then."""
+"""Slow streams, and streams and bodies that stall with a byte now and then."""
 
 import curio
 import pytest
 
 from dotterelhatch.core.routes import RouteKind
 from dotterelhatch.net.http import HttpError, ServerExchange
+from dotterelhatch.net.stream import SocketStream
 from standins.server import ServerStandIn
 from tests.gateway_helpers import (
+    HOST,
+    KEY,
     MODEL,
+    PLAIN,
     open_gateway,
     route,
     routing_table,
@@ -95,3 +99,40 @@
                 await curio.sleep(0.01)
 
     check()
+
+
+@run_async
+async def test_a_body_that_stalls_ends_at_the_time_limit() -> None:
+    """Guards against a caller that holds a request with a byte now and then.
+
+    The target has got nothing, so that the caller may be told so in time.
+    """
+    rule = route(
+        '/booking/',
+        RouteKind.NON_IDEMPOTENT,
+        PLAIN,
+        timeout_seconds=LIMIT_SECONDS,
+    )
+    server = ServerStandIn('p-1')
+    table = routing_table(routes=(rule,))
+    async with open_gateway((PLAIN, server), table=table) as fixture:
+        address = fixture.gateway.settings.caller_address
+        stream = await SocketStream.connect(address, 5)
+        head = (
+            f'POST /booking/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+            'Dotterelhatch-Request-Id: r1\r\nDotterelhatch-Deadline-Ms: 60000'
+            f'\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 1000\r\n\r\n'
+        )
+        await stream.write(head.encode())
+
+        async def trickle() -> None:
+            while True:
+                await stream.write(b'x')
+                await curio.sleep(0.05)
+
+        sender = await curio.spawn(trickle, daemon=True)
+        answer = await curio.timeout_after(10, stream.read)
+        await sender.cancel()
+        stream.close()
+    assert answer.startswith(b'HTTP/1.1 504')
+    assert not server.executed_ids
