--- a/benchmarks/heartbeats.py
+++ b/benchmarks/heartbeats.py
@@ -1,10 +1,12 @@
 """Measures size and CPU time of the heartbeats between gateways."""
 
 import random
+import socket
 import time
 from dataclasses import replace
 from typing import Annotated
 
+import curio
 import typer
 
 from dotterelhatch.core.admission import AdmissionCounts
@@ -23,7 +25,13 @@
 )
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
 from dotterelhatch.core.targetlimits import LimitReport
-from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
+from dotterelhatch.gateway.daemon import Gateway
+from dotterelhatch.gateway.heartbeats import (
+    HeartbeatSocket,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from dotterelhatch.gateway.settings import GatewaySettings
 from dotterelhatch.ids import (
     CauseId,
     FailureDomain,
@@ -33,10 +41,12 @@
     ServiceId,
     TargetId,
 )
+from dotterelhatch.platform.wire import PlatformWireFormat
 
 _HEARTBEATS_COUNT = 2000
 _SEED = 1
 _PARTS_PER_PROMPT_COUNT = 3
+_HEARTBEATS_PER_PEER_COUNT = 6
 
 
 def make_heartbeat(
@@ -133,6 +143,79 @@
     )
 
 
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def _peer_datagrams(
+    peers: int, targets: int, organisations: int, requests: float
+) -> list[bytes]:
+    """Return heartbeats of peers, whose counts change in every one."""
+    rng = random.Random(_SEED)
+    template = make_heartbeat(targets, organisations, requests)
+    datagrams = []
+    for sequence in range(1, _HEARTBEATS_PER_PEER_COUNT + 1):
+        for peer in range(peers):
+            address = f'10.1.{peer // 250}.{peer % 250}'
+            loads = {
+                target: TargetLoad(1, rng.randrange(9000), rng.randrange(9000))
+                for target in rng.sample(
+                    sorted(template.loads), min(targets, round(2 * requests))
+                )
+            }
+            heartbeat = replace(
+                template,
+                router=RouterId(f'edge-{peer}'),
+                sequence=sequence,
+                caller_address=f'{address}:8783',
+                control_address=f'{address}:8785',
+                heartbeat_address=f'{address}:7400',
+                snapshot_versions={},
+                loads=loads,
+                totals=_make_totals(
+                    rng, min(organisations, round(8 * requests))
+                ),
+            )
+            datagrams.append(encode_heartbeat(heartbeat))
+    return datagrams
+
+
+def measure_receiving(
+    routers: int, targets: int, organisations: int, requests: float
+) -> float:
+    """Return the processor time that a gateway needs for one heartbeat.
+
+    Each peer has a part of the load: twice as many requests in progress as it
+    sends between two heartbeats, and requests of eight times as many within the
+    window of the shares.
+    """
+    address = _free_address()
+    gateway = Gateway(
+        GatewaySettings(
+            router_id=RouterId('router-1'),
+            failure_domain=FailureDomain('konya'),
+            region='anadolu',
+            caller_address=address,
+            control_address=address,
+            heartbeat_address=address,
+            metrics_address=address,
+        ),
+        PlatformWireFormat(),
+    )
+    heartbeats = HeartbeatSocket(address, gateway._on_heartbeat, lambda: None)
+    datagrams = _peer_datagrams(routers - 1, targets, organisations, requests)
+
+    async def receive_all() -> None:
+        for datagram in datagrams:
+            await heartbeats._handle_datagram(datagram)
+
+    started_seconds = time.process_time()
+    curio.run(receive_all)
+    return (time.process_time() - started_seconds) / len(datagrams)
+
+
 def _random_hex(rng: random.Random) -> str:
     return f'{rng.getrandbits(40):010x}'
 
@@ -194,6 +277,18 @@
         f'{encode_seconds * 1e6:.0f} us, decode and apply '
         f'{decode_seconds * 1e6:.0f} us, {100 * cpu_share:.2f} % of a core'
     )
+    received_seconds = measure_receiving(
+        routers,
+        targets,
+        organisations,
+        max(1, requests_per_second * interval_seconds),
+    )
+    received_share = peers_count * received_seconds / interval_seconds
+    print(
+        'received and applied by a gateway: '
+        f'{received_seconds * 1e6:.0f} us a heartbeat, '
+        f'{100 * received_share:.2f} % of a core'
+    )
 
 
 if __name__ == '__main__':
