--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -93,6 +93,15 @@
         self._rebuild_ready()
         return changed
 
+    @property
+    def lapsed(self) -> frozenset[TargetId]:
+        """Return the targets that are kept for a grace period."""
+        return frozenset(self._lapsed_until_seconds)
+
+    def is_known(self, target: TargetId) -> bool:
+        """Return whether a target is listed, or kept for a grace period."""
+        return target in self._entries
+
     def expire(self, now_seconds: float) -> list[TargetEntry]:
         """Remove and return the targets whose grace period has ended."""
         expired = [
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -42,6 +42,7 @@
     LOAD = 'load'
     TABLE_CHANGED = 'table_changed'
     TARGET_CHANGED = 'target_changed'
+    TARGET_LAPSED = 'target_lapsed'
     TARGET_SUSPECTED = 'target_suspected'
     TARGET_LIMIT_CHANGED = 'target_limit_changed'
     TARGET_LEAVING = 'target_leaving'
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -140,6 +140,12 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.lapsed_targets = Gauge(
+            'lapsed_targets',
+            'Targets in use whose entries have expired in an outage.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.rejected_crash_causes = Gauge(
             'rejected_crash_causes',
             'Sets of causes that crash targets, whose requests are rejected.',
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -48,6 +48,7 @@
 # Moves all connections of the callers of a router within a few seconds.
 _CLOSE_INTERVAL_SECONDS: Final = 0.02
 _CONFIRMATION_CHECK_SECONDS: Final = 0.01
+_MILLISECONDS_PER_SECOND: Final = 1000
 
 
 def boottime_seconds() -> float:
@@ -105,6 +106,9 @@
         self.metrics.unusable_targets.set_function(
             lambda: self.registry.unusable_count
         )
+        self.metrics.lapsed_targets.set_function(
+            lambda: len(self.registry.lapsed)
+        )
         self.retry_budget = FleetRetryBudget(_retry_budget_settings(settings))
         self.loop_lag = LoopLag()
         self.arrivals = ArrivalRate()
@@ -395,16 +399,39 @@
         :param regained_seconds: time at which the source of the list became
             reachable again, None if it always was.
         """
+        formerly_lapsed = self.registry.lapsed
         changed = self.registry.apply(
             entries, self.clock(), regained_seconds=regained_seconds
         )
+        self._log_lapsed(formerly_lapsed, regained_seconds)
         self._on_targets_changed(changed)
 
     def expire_targets(self) -> None:
         """Remove targets that were not listed again after an outage."""
-        self._on_targets_changed(self.registry.expire(self.clock()))
+        self._on_targets_changed(
+            self.registry.expire(self.clock()), is_grace_over=True
+        )
 
-    def _on_targets_changed(self, changed: Iterable[TargetEntry]) -> None:
+    def _log_lapsed(
+        self,
+        formerly_lapsed: frozenset[TargetId],
+        regained_seconds: float | None,
+    ) -> None:
+        if regained_seconds is None:
+            return
+        regained_ms_ago = round(
+            (self.clock() - regained_seconds) * _MILLISECONDS_PER_SECOND
+        )
+        for target in sorted(self.registry.lapsed - formerly_lapsed):
+            log_decision(
+                Decision.TARGET_LAPSED,
+                target=target,
+                regained_ms_ago=regained_ms_ago,
+            )
+
+    def _on_targets_changed(
+        self, changed: Iterable[TargetEntry], *, is_grace_over: bool = False
+    ) -> None:
         services = set()
         for entry in changed:
             log_decision(
@@ -414,6 +441,9 @@
                 address=entry.address,
                 state=entry.state.value,
                 started_ms=entry.started_ms,
+                is_listed=not is_grace_over
+                and self.registry.is_known(entry.id),
+                is_grace_over=is_grace_over,
             )
             services.add(entry.service)
             if entry.state is TargetState.LEAVING:
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -253,6 +253,7 @@
             dependency='store',
             document=mirror.name,
             version=mirror.version,
+            source_version=table_watch.since,
         )
 
     async def _apply_config(self, snapshot: Snapshot) -> None:
