--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -11,6 +11,7 @@
 import pytest
 
 from dotterelhatch.gateway.daemon import Gateway
+from dotterelhatch.gateway.state import boottime_seconds
 from dotterelhatch.ids import ServiceId
 from dotterelhatch.net.http import HttpServer
 from dotterelhatch.platform.feeds import (
@@ -308,6 +309,55 @@
             await until(lambda: router.targets == [])
 
 
+@run_async
+async def test_a_target_that_leaves_while_one_router_is_refused_is_gone() -> (
+    None
+):
+    """Guards against requests to a target that a refused router still uses.
+
+    The store refuses one router and answers another one, so servers can renew
+    their rows. The row of a server that leaves as the refused router is let in
+    again is missing in its first response, as if it had expired.
+    """
+    store = filled_store()
+    refusing_store = filled_store()
+    # Newer than all that the peer has, so that the peer tells no changes.
+    refusing_store.version = 100
+    refusing_store.put('servers', 'i-2', SERVER)
+    async with (
+        HttpServer('127.0.0.1:0', store) as server,
+        HttpServer('127.0.0.1:0', refusing_store) as refusing_server,
+        open_router(f'127.0.0.1:{server.port}', 'r1') as first,
+    ):
+        seeds = (first.gateway.settings.heartbeat_address,)
+        address = f'127.0.0.1:{refusing_server.port}'
+        async with open_router(address, 'r2', seeds) as second:
+            state = second.gateway.state
+            await until(lambda: second.targets == ['i-1', 'i-2'])
+            await until(lambda: state.peers.live(state.clock()))
+            refusing_store.fault = StoreFault.RESET
+            calls_count = len(refusing_store.called_paths)
+            await until(
+                lambda: len(refusing_store.called_paths) > calls_count + 4
+            )
+            # Moves the refused router to a later moment of its outage.
+            state.clock = lambda: boottime_seconds() + 6
+            calls_count = len(refusing_store.called_paths)
+            await until(
+                lambda: len(refusing_store.called_paths) > calls_count + 4
+            )
+            refusing_store.fault = None
+            refusing_store.delete('servers', 'i-1')
+            version = refusing_store.version
+            await until(
+                lambda: (
+                    second.gateway.snapshot_store.versions()['servers']
+                    >= version
+                )
+            )
+            assert second.targets == ['i-2']
+
+
 @run_async
 async def test_a_router_cut_off_from_the_store_uses_its_peers() -> None:
     """Guards against a revoked API key that stays valid at one router.
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from dotterelhatch.core.registry import (
     TargetEntry,
     TargetRegistry,
@@ -73,6 +75,24 @@
     assert _names(registry) == ['b']
 
 
+@pytest.mark.parametrize('left_seconds', [10.1, 10.5, 11.0, 12.0])
+def test_a_target_that_leaves_after_an_outage_is_not_kept_for_long(
+    left_seconds: float,
+) -> None:
+    """Guards against requests to a target that left when its list was back.
+
+    It was listed after the outage, so its entry had not expired in it. Requests
+    may reach a target for 2 s after it has left, and the router reads the
+    change up to 0.3 s late.
+    """
+    registry = TargetRegistry()
+    registry.apply([_entry('a'), _entry('b')], 0)
+    registry.apply([_entry('a'), _entry('b')], 10, regained_seconds=10)
+    registry.apply([_entry('b')], left_seconds + 0.3, regained_seconds=10)
+    registry.expire(left_seconds + 1.9)
+    assert _names(registry) == ['b']
+
+
 def test_a_leaving_target_is_not_kept_by_an_outage() -> None:
     """Guards against a drain that is undone by an outage of the list.
 
