Treat targets as gone that leave while the store refuses only this router

Cause: the router took its own outage for one of the store. The store had refused this router for nine seconds and answered its peers and the servers. When it was answered again, rows that went missing within 2.5 s counted as expired because servers could not renew them, and the targets stayed in use.

Change: an outage is judged by what peers say. A peer that was answered after the first failure, and before the start of a call that failed too, shows that the store serves others, so that a missing row is that of a server that has left. What a peer says later may come from a store that is back, and is no evidence. Heartbeats are unchanged. dependency_regained says how long the outage was and whether peers were answered.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -1,5 +1,6 @@
 """Directory of the peers of a gateway, built from their heartbeats."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -179,6 +180,17 @@
             if now_seconds - peer.received_seconds <= _LIVE_TIMEOUT_SECONDS
         ]
 
+    def source_seen_seconds(self) -> float:
+        """Return when a peer last said that the sources answer it."""
+        return max(
+            (
+                peer.received_seconds
+                for peer in self._peers.values()
+                if peer.heartbeat.is_source_seen
+            ),
+            default=-math.inf,
+        )
+
     def advertised(self, now_seconds: float) -> list[Heartbeat]:
         """Return the peers whose addresses are given to callers.
 
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -68,8 +68,8 @@
     ) -> list[TargetEntry]:
         """Replace the entries by a complete list.
 
-        :param regained_seconds: end of the last outage of the list, None if
-            there was none.
+        :param regained_seconds: end of the last outage in which entries may
+            have expired, None if there was none.
         :returns: new and changed entries. An entry that disappeared is
             returned with the state ``LEAVING``.
         """
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -150,6 +150,10 @@
         )
         return now_seconds - oldest_seconds <= _SOURCE_TIMEOUT_SECONDS
 
+    def peer_answered_seconds(self) -> float:
+        """Return a time after which all sources answered some peer."""
+        return self.peers.source_seen_seconds() - _SOURCE_TIMEOUT_SECONDS
+
     async def wait_confirmed(self) -> None:
         """Wait until what was known before a suspension is known to hold.
 
@@ -396,8 +400,8 @@
     ) -> None:
         """Apply a list of targets.
 
-        :param regained_seconds: time at which the source of the list became
-            reachable again, None if it always was.
+        :param regained_seconds: end of the last outage of the source in which
+            entries may have expired, None if there was none.
         """
         formerly_lapsed = self.registry.lapsed
         changed = self.registry.apply(
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from dotterelhatch.core.outages import SourceOutage
 from dotterelhatch.fleet import RemoteAddress
 from dotterelhatch.gateway.daemon import Gateway
 from dotterelhatch.gateway.decisions import Decision, log_decision
@@ -144,11 +145,12 @@
         table_watch = _WatchState(mirror)
         self._watches.append(table_watch)
         while True:
+            peer_answered_seconds = self._gateway.state.peer_answered_seconds()
             error = await self._try_read(table_watch)
             if error is None:
                 self._on_read_succeeded(table_watch)
                 continue
-            self._on_read_failed(table_watch, error)
+            self._on_read_failed(table_watch, error, peer_answered_seconds)
             await curio.sleep(table_watch.backoff_seconds)
             table_watch.backoff_seconds = min(
                 _MAX_BACKOFF_SECONDS, 2 * table_watch.backoff_seconds
@@ -189,14 +191,21 @@
         self._gateway.state.metrics.malformed_inputs.labels('store').inc(
             page.malformed_count
         )
-        if table_watch.is_unreachable and mirror.name == _SERVER_TABLE:
-            self._regained_seconds = self._gateway.state.clock()
+        if table_watch.outage is not None and mirror.name == _SERVER_TABLE:
+            self._on_targets_regained(table_watch.outage)
         self._gateway.on_source_response(mirror.name, called_seconds)
         if is_whole_table or page.rows:
             await self._gateway.snapshot_store.put_if_newer(mirror.snapshot())
             if mirror.name == _SERVER_TABLE:
                 await curio.sleep(_BATCH_DELAY_SECONDS)
 
+    def _on_targets_regained(self, outage: SourceOutage) -> None:
+        if outage.are_others_answered:
+            # Servers could renew their rows, so those that are gone have left.
+            self._regained_seconds = None
+        else:
+            self._regained_seconds = self._gateway.state.clock()
+
     async def _poll(
         self, table_watch: '_WatchState', since: int
     ) -> RowsPage | None:
@@ -208,7 +217,7 @@
             wait_seconds = aligned_poll_seconds(peers_count + 1, state.rng)
         else:
             wait_seconds = long_poll_seconds(peers_count + 1)
-        if table_watch.is_unreachable or state.confirmations.needs(name):
+        if table_watch.outage or state.confirmations.needs(name):
             wait_seconds = 0
         task = await curio.current_task()
         table_watch.poll = _Poll(task, state.clock())
@@ -224,13 +233,17 @@
         return page
 
     def _on_read_failed(
-        self, table_watch: '_WatchState', error: Exception
+        self,
+        table_watch: '_WatchState',
+        error: Exception,
+        peer_answered_seconds: float,
     ) -> None:
         if isinstance(error, HistoryExpiredError):
             table_watch.since = None
-        if table_watch.is_unreachable:
+        if table_watch.outage is not None:
+            table_watch.outage.on_call_failed(peer_answered_seconds)
             return
-        table_watch.is_unreachable = True
+        table_watch.outage = SourceOutage(self._gateway.state.clock())
         mirror = table_watch.mirror
         self._gateway.state.metrics.source_up.labels(mirror.name).set(0)
         log_decision(
@@ -245,15 +258,19 @@
         table_watch.backoff_seconds = _MIN_BACKOFF_SECONDS
         mirror = table_watch.mirror
         self._gateway.state.metrics.source_up.labels(mirror.name).set(1)
-        if not table_watch.is_unreachable:
+        outage = table_watch.outage
+        if outage is None:
             return
-        table_watch.is_unreachable = False
+        table_watch.outage = None
+        outage_seconds = self._gateway.state.clock() - outage.began_seconds
         log_decision(
             Decision.DEPENDENCY_REGAINED,
             dependency='store',
             document=mirror.name,
             version=mirror.version,
             source_version=table_watch.since,
+            outage_seconds=round(outage_seconds, 3),
+            are_others_answered=outage.are_others_answered,
         )
 
     async def _apply_config(self, snapshot: Snapshot) -> None:
@@ -307,7 +324,7 @@
     """State of watching one table.
 
     :param since: version read last, None to read the whole table.
-    :param is_unreachable: whether the last call failed.
+    :param outage: the present outage, None if the last call was answered.
     :param is_aligned: whether the last call of all routers ended at the same
         time.
     :param poll: the call for changes in progress, None without one.
@@ -315,7 +332,7 @@
 
     mirror: TableMirror
     since: int | None = None
-    is_unreachable: bool = False
+    outage: SourceOutage | None = None
     is_aligned: bool = True
     backoff_seconds: float = _MIN_BACKOFF_SECONDS
     poll: _Poll | None = None
