Bound the use of a target from the time at which its entry disappears

What callers saw: requests reach a target up to 3 s after it has left, if it leaves within 2.5 s after the store answers a router again; the bound is 2 s.

Cause: a target whose entry disappears after an outage was kept until 2.5 s after the end of the outage, whenever it had disappeared, and the end was checked every 0.5 s.

Change: such an entry is kept for 1.1 s from when it is found missing, which a router does at most 0.7 s late, and the end is checked every 0.1 s. That holds also where nobody can tell whether the store was down for all. An entry that expired in an outage has less time to come back: 1.1 s from when it is missed, instead of 2.5 s from the end of the outage.

--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -1,6 +1,7 @@
 """The targets that register themselves in a list of the platform."""
 
 import enum
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
@@ -10,8 +11,13 @@
 __all__ = ('TargetEntry', 'TargetRegistry', 'TargetState')
 
 # Targets whose entries expired during an outage of the list register again
-# within two seconds after it. The rest is the delay until the entry is read.
-_LAPSE_GRACE_SECONDS: Final = 2.5
+# within two seconds after it; some entries expire only after it. The rest is
+# the delay until the list is read.
+_LAPSE_WINDOW_SECONDS: Final = 2.5
+# An entry that disappears then may also be that of a target that has left,
+# which must get no requests two seconds later. A router may learn of it 0.7 s
+# late, by its own calls or from a peer.
+_LAPSE_GRACE_SECONDS: Final = 1.1
 
 
 class TargetState(enum.Enum):
@@ -44,7 +50,8 @@
     A target that was listed as leaving, or that said so in an answer, stays so
     until it starts again, also if it disappears and is listed once more. An
     entry that disappears right after an outage of the list is kept for a
-    grace period, because entries expire when they cannot be renewed.
+    grace period from then on, because entries expire when they cannot be
+    renewed.
     """
 
     def __init__(self) -> None:
@@ -74,7 +81,11 @@
             returned with the state ``LEAVING``.
         """
         current = {entry.id: self._keep_leaving(entry) for entry in listed}
-        grace_until = (regained_seconds or -1e9) + _LAPSE_GRACE_SECONDS
+        window_until = (
+            -math.inf
+            if regained_seconds is None
+            else regained_seconds + _LAPSE_WINDOW_SECONDS
+        )
         changed = [
             entry
             for entry in current.values()
@@ -83,8 +94,7 @@
         for target, entry in self._entries.items():
             if target in current:
                 self._lapsed_until_seconds.pop(target, None)
-            elif now_seconds < grace_until and entry.state is TargetState.READY:
-                self._lapsed_until_seconds.setdefault(target, grace_until)
+            elif self._is_kept(entry, now_seconds, window_until):
                 current[target] = entry
             else:
                 changed.append(replace(entry, state=TargetState.LEAVING))
@@ -160,6 +170,20 @@
         """
         return self._ready_by_service.get(service, ())
 
+    def _is_kept(
+        self, entry: TargetEntry, now_seconds: float, window_until: float
+    ) -> bool:
+        """Return whether a target is used though it is not listed."""
+        lapsed_until = self._lapsed_until_seconds.get(entry.id)
+        if lapsed_until is None:
+            if entry.state is not TargetState.READY:
+                return False
+            if now_seconds >= window_until:
+                return False
+            lapsed_until = now_seconds + _LAPSE_GRACE_SECONDS
+            self._lapsed_until_seconds[entry.id] = lapsed_until
+        return now_seconds < lapsed_until
+
     def _keep_leaving(self, entry: TargetEntry) -> TargetEntry:
         known = self._entries.get(entry.id)
         if known is None or known.started_ms != entry.started_ms:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -77,7 +77,7 @@
 # 2.5 s or longer and a report is valid for 2 s, so several reports in a row may
 # be lost.
 _TOTALS_INTERVAL_SECONDS: Final = 0.2
-# Requests wait for these decisions.
+# Requests wait for these decisions, or must not be placed any more after them.
 _DECISION_INTERVAL_SECONDS: Final = 0.1
 
 
@@ -165,7 +165,7 @@
             self._run_heartbeats,
             self._run_maintenance,
             self._run_load_report,
-            self._run_crash_decisions,
+            self._run_decisions,
             self.state.loop_lag.measure_forever,
         ):
             self._tasks.append(await curio.spawn(step, daemon=True))
@@ -364,12 +364,13 @@
         if self._urgent_reports.try_spend(now_seconds, peers_count):
             await self._run_step(self._send_heartbeats)
 
-    async def _run_crash_decisions(self) -> None:
+    async def _run_decisions(self) -> None:
         while True:
             await curio.sleep(_DECISION_INTERVAL_SECONDS)
-            await self._run_step(self._decide_crash_causes)
+            await self._run_step(self._decide)
 
-    async def _decide_crash_causes(self) -> None:
+    async def _decide(self) -> None:
+        self.state.expire_targets()
         self.state.decide_crash_causes()
 
     async def _send_heartbeats(self) -> None:
@@ -471,7 +472,6 @@
 
     async def _maintain(self) -> None:
         state = self.state
-        state.expire_targets()
         live = state.peers.live(state.clock())
         routers = frozenset(peer.router for peer in live)
         if routers != self._live_routers:
