Drop a target whose grace period ends as one that leaves

Cause: the end of the grace period passed on the entry as it was last listed, so the target counted as one that has just started: what was known of its health and cache was discarded, its requests were cleared of crashes, and its request limit was kept.

Evidence: test_a_target_whose_grace_period_ends_counts_as_leaving fails before and passes now.

Change: the entry is returned with the state that other disappeared entries have.

--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -113,7 +113,10 @@
         return target in self._entries
 
     def expire(self, now_seconds: float) -> list[TargetEntry]:
-        """Remove and return the targets whose grace period has ended."""
+        """Remove the targets whose grace period has ended.
+
+        :returns: their entries with the state ``LEAVING``.
+        """
         expired = [
             target
             for target, until in self._lapsed_until_seconds.items()
@@ -122,7 +125,8 @@
         dropped = []
         for target in expired:
             self._lapsed_until_seconds.pop(target)
-            dropped.append(self._entries.pop(target))
+            entry = self._entries.pop(target)
+            dropped.append(replace(entry, state=TargetState.LEAVING))
         if dropped:
             self._rebuild_ready()
         return dropped
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -75,6 +75,18 @@
     assert _names(registry) == ['b']
 
 
+def test_a_target_whose_grace_period_ends_counts_as_leaving() -> None:
+    """Guards against a target that is dropped as if it had just started.
+
+    A start discards what is known of its health, its cache and its crashes.
+    """
+    registry = TargetRegistry()
+    registry.apply([_entry('a')], 0)
+    registry.apply([], 10, regained_seconds=10)
+    dropped = registry.expire(13)
+    assert [one.state for one in dropped] == [TargetState.LEAVING]
+
+
 @pytest.mark.parametrize('left_seconds', [10.1, 10.5, 11.0, 12.0])
 def test_a_target_that_leaves_after_an_outage_is_not_kept_for_long(
     left_seconds: float,
