Keep the rows of other routers while none of them is heard

What operators could see: a router that starts when its seeds are gone finds no others, though they run and serve.

Cause: a router that is cut off from its peers, and reaches the store, takes its own outage for theirs.

Evidence: test_a_router_that_hears_nobody_removes_no_rows fails before and passes now.

Change: a silent router is counted only while some other router is heard.

--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -414,14 +414,10 @@
         state = self._gateway.state
         now_seconds = state.clock()
         live = {peer.router for peer in state.peers.live(now_seconds)}
-        live.add(settings.router_id)
         for row in page.rows:
-            if row.key in live:
+            if row.key == settings.router_id or row.key in live:
                 self._silent_reads.pop(row.key, None)
-                continue
-            silent_count = self._silent_reads.get(row.key, 0) + 1
-            self._silent_reads[row.key] = silent_count
-            if silent_count > _MAX_SILENT_READS_COUNT:
+            elif self._is_gone(row.key, bool(live)):
                 await self._store.remove_row(
                     _ROUTER_TABLE, row.key, row.version
                 )
@@ -431,6 +427,17 @@
                 if not addresses:
                     state.metrics.malformed_inputs.labels('router_row').inc()
 
+    def _is_gone(self, router: str, is_any_live: bool) -> bool:
+        """Count a read in which a router is silent; return whether it is gone.
+
+        A router that hears nobody may be the one that is cut off.
+        """
+        if not is_any_live:
+            return False
+        silent_count = self._silent_reads.get(router, 0) + 1
+        self._silent_reads[router] = silent_count
+        return silent_count > _MAX_SILENT_READS_COUNT
+
     async def _remove_own_row(self) -> None:
         settings = self._gateway.settings
         page = await self._store.read_table(_ROUTER_TABLE)
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -24,7 +24,7 @@
 from dotterelhatch.platform.store import RowChange, RowsPage, Store
 from dotterelhatch.platform.wire import PlatformWireFormat
 from standins.row_store import RowStore, StoreFault
-from tests.gateway_helpers import gateway_settings, run_async
+from tests.gateway_helpers import free_port, gateway_settings, run_async
 from tests.test_platform_adapter import CONFIG, SERVER
 
 LLM = ServiceId('llm')
@@ -195,6 +195,23 @@
             assert calls_count == 1
 
 
+@run_async
+async def test_a_router_that_hears_nobody_removes_no_rows() -> None:
+    """Guards against a router table that is emptied by one router.
+
+    That router is cut off from all others, and reaches the store. The others do
+    not write their rows again, and routers that start later need them.
+    """
+    store = filled_store()
+    table = 'dotterelhatch-routers'
+    store.put(table, 'r2', {'heartbeat': f'127.0.0.1:{free_port()}'})
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}', 'r1') as router:
+            for _ in range(20):
+                await router.discovery._refresh()
+            assert 'r2' in store.keys(table)
+
+
 @run_async
 async def test_changes_of_a_group_of_servers_are_read_together() -> None:
     """Guards against one call to the store per server of a release.
