Let the store refuse one router in the soak, while servers leave

The soak excused late work after a drain if any fault was active in the 3 s before it, and its servers always announced that they leave, so it could not see a router that takes its own outage for one of the store.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from soak.faults import FAULTS, REFUSALS
 from soak.run import SoakSettings, run_soak
 
 __all__ = ('main',)
@@ -27,6 +28,10 @@
     seconds: Annotated[
         float, typer.Option(help='Duration of the fault injection in seconds.')
     ] = 12,
+    refusals: Annotated[
+        bool,
+        typer.Option(help='The store refuses one router after the other.'),
+    ] = False,
     folder: Annotated[
         Path | None, typer.Option(help='Directory for settings and logs.')
     ] = None,
@@ -39,7 +44,12 @@
     failed_count = 0
     for run_seed in run_seeds:
         result = run_soak(
-            SoakSettings(run_seed, log_directory / str(run_seed), seconds)
+            SoakSettings(
+                run_seed,
+                log_directory / str(run_seed),
+                seconds,
+                REFUSALS if refusals else FAULTS,
+            )
         )
         failed_count += bool(result.problems)
         verdict = 'FAILED' if result.problems else 'passed'
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -154,6 +154,11 @@
         server.drain_started_seconds = time.monotonic()
         self.store.put('servers', server.instance, server.row)
 
+    def remove_server(self, server: Server) -> None:
+        """Remove the row of a server that leaves; it keeps running."""
+        server.drain_started_seconds = time.monotonic()
+        self.store.delete('servers', server.instance)
+
     def ready_servers(self, service: str) -> list[Server]:
         """Return the servers of a service that are not draining."""
         return [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,18 +10,25 @@
 from soak.proxy import FaultProxy, NetworkFault
 from standins.row_store import StoreFault
 
-__all__ = ('FAULTS', 'Fault')
+__all__ = ('FAULTS', 'REFUSALS', 'Fault')
 
 Fault = Callable[[SoakEnvironment, float], Awaitable[None]]
 FAULTS: Final[dict[str, Fault]] = {}
+# The store refuses a router and answers the others, which excuses nothing. In
+# runs of their own, as other faults would be an excuse nearly always.
+REFUSALS: Final[dict[str, Fault]] = {}
 _POLL_SECONDS = 0.1
+_MIN_REFUSED_SECONDS = 3.0
+_MAX_DEPARTURE_SECONDS = 0.6
 
 
-def _fault(name: str) -> Callable[[Fault], Fault]:
+def _fault(
+    name: str, registry: dict[str, Fault] = FAULTS
+) -> Callable[[Fault], Fault]:
     """Register a fault, called with the environment and its duration."""
 
     def register(fault: Fault) -> Fault:
-        FAULTS[name] = fault
+        registry[name] = fault
         return fault
 
     return register
@@ -182,3 +189,36 @@
     for _ in range(environment.rng.randint(1, 4)):
         environment.write_config()
         await curio.sleep(_POLL_SECONDS)
+
+
+@_fault('refuse-router', REFUSALS)
+async def _refuse_router(environment: SoakEnvironment, seconds: float) -> None:
+    """Refuse a router for seconds; a server leaves about when that ends."""
+    rng = environment.rng
+    if any(one.fault for one in environment.store_proxies):
+        # Some router has to be answered, for the others to learn from it.
+        return
+    proxy = rng.choice(environment.store_proxies)
+    proxy.set_fault(rng.choice((NetworkFault.REFUSED, NetworkFault.SILENT)))
+    if proxy.fault is NetworkFault.REFUSED:
+        proxy.reset_all()
+    service = rng.choice(['model', 'app'])
+    await environment.add_server(service)
+    leaving = rng.choice(environment.ready_servers(service)[:-1])
+    departure_seconds = rng.uniform(0, _MAX_DEPARTURE_SECONDS)
+    await curio.sleep(_MIN_REFUSED_SECONDS + seconds)
+    if rng.choice((True, False)):
+        environment.remove_server(leaving)
+        await curio.sleep(departure_seconds)
+        proxy.set_fault(None)
+    else:
+        proxy.set_fault(None)
+        await curio.sleep(departure_seconds)
+        environment.remove_server(leaving)
+
+
+@_fault('configure', REFUSALS)
+async def _change_config_meanwhile(
+    environment: SoakEnvironment, seconds: float
+) -> None:
+    await _change_config(environment, seconds)
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,15 +3,15 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
 
 import curio
 
 from soak.environment import SoakEnvironment
-from soak.faults import FAULTS
+from soak.faults import FAULTS, Fault
 from soak.servers import Execution
 from soak.traffic import Caller, RequestOutcome, RequestRecord
 
@@ -50,11 +50,13 @@
 
     :param folder: for the settings and logs of the routers.
     :param faulty_seconds: period in which faults are started.
+    :param faults: those that may start, by name.
     """
 
     seed: int
     folder: Path
     faulty_seconds: float = 12.0
+    faults: Mapping[str, Fault] = field(default_factory=lambda: FAULTS)
 
 
 @dataclass(frozen=True)
@@ -91,7 +93,7 @@
             )
             callers.append(caller)
             tasks.append(await curio.spawn(caller.run, daemon=True))
-        faults = await _inject_faults(environment, settings.faulty_seconds)
+        faults = await _inject_faults(environment, settings)
         await _recover(environment, callers)
         for task in tasks:
             await task.cancel()
@@ -107,7 +109,7 @@
 
 
 async def _inject_faults(
-    environment: SoakEnvironment, faulty_seconds: float
+    environment: SoakEnvironment, settings: SoakSettings
 ) -> list[str]:
     """Start random faults one after the other; they may overlap.
 
@@ -115,12 +117,13 @@
     """
     started = []
     running = []
-    end_seconds = time.monotonic() + faulty_seconds
+    end_seconds = time.monotonic() + settings.faulty_seconds
     while time.monotonic() < end_seconds:
-        name = environment.rng.choice(sorted(FAULTS))
+        name = environment.rng.choice(sorted(settings.faults))
         seconds = environment.rng.uniform(0.2, _MAX_FAULT_SECONDS)
         started.append(f'{name} {seconds:.1f} s')
-        running.append(await curio.spawn(FAULTS[name], environment, seconds))
+        fault = settings.faults[name]
+        running.append(await curio.spawn(fault, environment, seconds))
         await curio.sleep(environment.rng.uniform(0.1, _MAX_PAUSE_SECONDS))
     for task in running:
         await task.join()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dotterelhatch.net.http import HttpError, HttpServer, fetch
+from soak.faults import REFUSALS
 from soak.proxy import FaultProxy, NetworkFault
 from soak.run import SoakSettings, run_soak
 from soak.servers import expected_body, expected_stream
@@ -35,6 +36,19 @@
     assert result.outcomes['served'] > 20
 
 
+def test_leaving_servers_are_not_used_while_the_store_refuses_a_router(
+    tmp_path: Path,
+) -> None:
+    """Guards against an outage of one router that counts as one of the store.
+
+    Servers leave, without a word, about when the router is answered again.
+    """
+    settings = SoakSettings(4, tmp_path, faulty_seconds=10, faults=REFUSALS)
+    result = run_soak(settings)
+    assert not result.problems, result
+    assert result.outcomes['served'] > 20
+
+
 def test_expected_responses_differ_between_requests() -> None:
     """Guards against a soak test that can't detect mixed-up responses.
 
