Take the time within which requests to a leaving target stop from the settings

Cause: the grace period of an entry that disappears after an outage was fitted to a bound of 2 s.

Evidence: test_a_target_that_may_have_left_is_kept_no_longer_than_allowed for bounds of 0.5, 1.2 and 3 s; with the fixed period of 1.1 s the first two keep the target.

Change: the grace period is that bound less 0.9 s for learning of the change and for the request, 1.1 s as before where it is 2 s.

--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -14,10 +14,9 @@
 # within two seconds after it; some entries expire only after it. The rest is
 # the delay until the list is read.
 _LAPSE_WINDOW_SECONDS: Final = 2.5
-# An entry that disappears then may also be that of a target that has left,
-# which must get no requests two seconds later. A router may learn of it 0.7 s
-# late, by its own calls or from a peer.
-_LAPSE_GRACE_SECONDS: Final = 1.1
+# Time until a router knows that an entry has disappeared, by its own calls or
+# from a peer, and until a request reaches its target.
+_MAX_NOTICE_SECONDS: Final = 0.9
 
 
 class TargetState(enum.Enum):
@@ -51,11 +50,15 @@
     until it starts again, also if it disappears and is listed once more. An
     entry that disappears right after an outage of the list is kept for a
     grace period from then on, because entries expire when they cannot be
-    renewed.
+    renewed. It may also be that of a target that has left.
+
+    :param departure_seconds: time after which a target that has left must get
+        no requests.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, departure_seconds: float = 2.0) -> None:
         """Create an empty registry."""
+        self._grace_seconds = max(0, departure_seconds - _MAX_NOTICE_SECONDS)
         self._entries: dict[TargetId, TargetEntry] = {}
         self._lapsed_until_seconds: dict[TargetId, float] = {}
         # Starts of targets that are not used, whatever the list says.
@@ -184,7 +187,7 @@
                 return False
             if now_seconds >= window_until:
                 return False
-            lapsed_until = now_seconds + _LAPSE_GRACE_SECONDS
+            lapsed_until = now_seconds + self._grace_seconds
             self._lapsed_until_seconds[entry.id] = lapsed_until
         return now_seconds < lapsed_until
 
--- a/src/dotterelhatch/gateway/settings.py
+++ b/src/dotterelhatch/gateway/settings.py
@@ -44,6 +44,8 @@
     :param descriptors_limit_count: maximum of open sockets.
     :param share_window_seconds: window over which the usage of organisations
         is compared.
+    :param target_departure_seconds: time after which a target that has left
+        must get no requests.
     :param repeats: budget of retries to targets.
     """
 
@@ -59,6 +61,7 @@
     memory_limit_bytes: int = Field(default=256 * 1024 * 1024, gt=0)
     descriptors_limit_count: int = Field(default=4096, gt=0)
     share_window_seconds: float = Field(default=4.0, gt=0)
+    target_departure_seconds: float = Field(default=2.0, gt=0)
     repeats: RetryBudgetSettings = RetryBudgetSettings()
     leaving: LeavingSettings = LeavingSettings()
     log_level: str = Field(
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -77,7 +77,7 @@
         self.table: RoutingTable | None = None
         self.metrics = GatewayMetrics()
         self.load_report = LoadReport(self.metrics)
-        self.registry = TargetRegistry()
+        self.registry = TargetRegistry(settings.target_departure_seconds)
         self.load_tracker = LoadTracker()
         self.health = TargetHealth()
         self.crash_causes = CrashCauses(settings.router_id, self._live_routers)
--- a/src/dotterelhatch/platform/settings.py
+++ b/src/dotterelhatch/platform/settings.py
@@ -67,6 +67,7 @@
 
 
 class _Bounds(_TomlTable):
+    drain_ms: _Milliseconds = Field(alias='drain-ms', default=2000)
     grace_s: _Seconds = Field(alias='grace-s', default=8)
     retry_budget_ratio: _Number = Field(alias='retry-budget-ratio', default=0.2)
     budget_window_s: _Seconds = Field(alias='budget-window-s', default=10)
@@ -190,6 +191,7 @@
             1, limits.max_fds - _RESERVED_DESCRIPTORS_COUNT
         ),
         share_window_seconds=bounds.quota_window_s,
+        target_departure_seconds=bounds.drain_ms / _MILLISECONDS_PER_SECOND,
         repeats=RetryBudgetSettings(
             window_seconds=bounds.budget_window_s,
             ratio=bounds.retry_budget_ratio,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,6 +25,7 @@
 zone = "konya"
 region = "anadolu"
 port-range = [7400, 7415]
+heartbeat-ms = 800
 seeds = ["10.2.0.18:8785", "10.1.0.33:8785"]
 unknown-field = true
 [listen]
@@ -36,6 +37,7 @@
 memory-mb = 205
 max-fds = 6150
 [bounds]
+drain-ms = 3000
 grace-s = 8
 retry-budget-ratio = 0.2
 budget-window-s = 10
@@ -113,6 +115,8 @@
     assert settings.memory_limit_bytes == 205 * 1024 * 1024
     assert settings.repeats.slack_count == 56
     assert settings.leaving.limit_seconds == 8
+    assert settings.target_departure_seconds == 3
+    assert process.renewal_seconds == 0.8
     assert process.store_address == '10.200.1.7:8781'
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -87,6 +87,21 @@
     assert [one.state for one in dropped] == [TargetState.LEAVING]
 
 
+@pytest.mark.parametrize('departure_seconds', [0.5, 1.2, 3.0])
+def test_a_target_that_may_have_left_is_kept_no_longer_than_allowed(
+    departure_seconds: float,
+) -> None:
+    """Guards against a bound for leaving targets of which only one is kept.
+
+    Each deployment states how long a target that has left may get requests.
+    """
+    registry = TargetRegistry(departure_seconds)
+    registry.apply([_entry('a')], 0)
+    registry.apply([], 10.3, regained_seconds=10.2)
+    registry.expire(10 + departure_seconds - 0.1)
+    assert not _names(registry)
+
+
 @pytest.mark.parametrize('left_seconds', [10.1, 10.5, 11.0, 12.0])
 def test_a_target_that_leaves_after_an_outage_is_not_kept_for_long(
     left_seconds: float,
