Let the model of an overloaded fleet take what relays say of held bytes

The stand-in for a target's response in tests/overloaded_fleet.py lacked the method that relays call since the bytes of responses are counted, so 22 cases of test_fleet_fairness and test_router_overload failed in a whole run, all with that one error. The model holds nothing, and both files pass again.

--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -162,6 +162,9 @@
     async def read_all(self) -> bytes:
         return b'answer'
 
+    def hold(self, count: int, *, is_sending: bool = False) -> None:
+        """Hold nothing."""
+
 
 @dataclass
 class _Targets:
