Drop what slow callers keep, and count only long responses

What callers could see: many callers that do not read their answers use up the limit of held bytes, and the answers of others are dropped instead of theirs.

Cause: what waits for a caller was counted and never dropped, so that above the limit any other response over 64 KiB was; and each part of a stream then looked through all responses for one to drop.

Evidence: test_short_responses_are_neither_counted_nor_dropped and test_callers_that_do_not_read_lose_their_responses (eight callers, 8 MB each, limit 20 MB; a ninth reads its own).

Change: only responses of 64 KiB and more are counted, and any of them may be dropped. One that waits for its caller ends with that caller's connection.

--- a/src/dotterelhatch/filters/relay.py
+++ b/src/dotterelhatch/filters/relay.py
@@ -169,7 +169,8 @@
                     self._count_event(event)
                     relayed.extend(event.raw)
             response.hold(
-                len(relayed) + splitter.pending_bytes, is_sending=True
+                len(relayed) + splitter.pending_bytes,
+                self._context.exchange.abort,
             )
             await self._send_events(response, bytes(relayed))
             response.hold(splitter.pending_bytes)
--- a/src/dotterelhatch/gateway/relay.py
+++ b/src/dotterelhatch/gateway/relay.py
@@ -85,6 +85,7 @@
                 Executed.UNKNOWN,
             )
         headers = end_to_end_headers(response.headers)
+        response.hold(len(body), self._exchange.abort)
         await self._exchange.send(Response(response.status, headers, body))
 
     async def relay_stream(
@@ -140,7 +141,7 @@
         """Send events, and count what is kept meanwhile."""
         pending_bytes = self._splitter.pending_bytes
         if content:
-            response.hold(len(content) + pending_bytes, is_sending=True)
+            response.hold(len(content) + pending_bytes, self._exchange.abort)
             await self._send(response, content)
         response.hold(pending_bytes)
 
--- a/src/dotterelhatch/net/targets.py
+++ b/src/dotterelhatch/net/targets.py
@@ -272,7 +272,7 @@
         self._progress_timeout_seconds = progress_timeout_seconds
         self._parts: list[bytes] = []
         self._body_bytes = 0
-        self._is_sending = False
+        self._on_drop: Callable[[], None] | None = None
         self._max_bytes = client.pool_limits.max_stream_bytes
         self._complete = False
         self._closed = False
@@ -296,11 +296,6 @@
         """Return the address of the target."""
         return self._connection.address
 
-    @property
-    def may_be_dropped(self) -> bool:
-        """Return whether :meth:`drop` frees the bytes that are held."""
-        return not (self._complete or self._is_sending)
-
     @property
     def complete(self) -> bool:
         """Return whether the body has arrived to its end."""
@@ -356,18 +351,29 @@
         while content:
             content = await self.read_chunk()
 
-    def hold(self, count: int, *, is_sending: bool = False) -> None:
+    def hold(
+        self, count: int, on_drop: Callable[[], None] | None = None
+    ) -> None:
         """Set how many bytes of the body the reader keeps.
 
-        If all responses hold too much, the next read of one of them fails.
+        If all responses hold too much, one of them is dropped.
 
-        :param is_sending: whether they are kept until a caller has read them.
+        :param on_drop: ends what the bytes are kept for. Without it the next
+            read fails.
         """
-        self._is_sending = is_sending
+        self._on_drop = on_drop
         self._client.held.hold(self, count)
 
     def drop(self, detail: str) -> None:
         """End the response, for the bytes that all responses hold."""
+        if self._on_drop is not None:
+            _LOGGER.warning(
+                'dropped a response of %s that its caller does not read: %s',
+                self.address,
+                detail,
+            )
+            self._on_drop()
+            return
         self._fail(FailureReason.OVERSIZED, detail)
         self._parts.clear()
         # Wakes the task that reads the response.
