--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """One tenant sends prompts of many parts to a fleet of two routers."""
 
 import asyncio
+import os
 import random
 import sys
 from collections import Counter
@@ -9,6 +10,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from fleet import (  # noqa: E402
+    CannotRunError,
     Machine,
     Record,
     Router,
@@ -23,18 +25,24 @@
 HOST = 'ficu95.example'
 # Of the smallest machine of bakir-ortak.
 MEMORY_MB = 205
-INPUT_TOKENS = 9000
-PARTS = 600
+ENGINE_TOKENS = 289119
+# Of the sheet: shared and own tokens, distinct shared prompts, requests a
+# second (33.1).
+SHARED_TOKENS = 6300
+OWN_TOKENS = 2890
+SHARED_PROMPTS = 104
 PER_SECOND = 30
+SHARED_PARTS = 700
 ROUND_SECONDS = 6
 ROUNDS = 3
 
 
-def prompt_prefix(parts_count: int) -> str:
-    """Return the parts of a prompt that no other request has."""
-    tokens = INPUT_TOKENS // parts_count
-    ids = [f'{random.getrandbits(32):08x}' for _ in range(parts_count)]
-    return ','.join(f'{part}:{tokens}' for part in ids)
+def shared_prompt(parts_count: int) -> str:
+    """Return the parts of a prompt that several requests begin with."""
+    tokens = SHARED_TOKENS // parts_count
+    return ','.join(
+        f'{random.getrandbits(32):08x}:{tokens}' for _ in range(parts_count)
+    )
 
 
 async def case(record: Record, folder: Path, has_trouble: bool) -> bool:
@@ -42,7 +50,11 @@
     store = Store()
     await store.open()
     tenants = [{'name': 'ramp-1', 'api-keys': ['key-1']}]
-    store.put('op', 'config', configuration(HOST, 3, tenants))
+    store.put(
+        'op',
+        'config',
+        configuration(HOST, 3, tenants, engine_tokens=ENGINE_TOKENS),
+    )
     for number in range(5):
         server = Server(record, f'i-{number}', 'hatch-llm', '127.0.0.1')
         server.answer_headers = {'Content-Type': 'text/event-stream'}
@@ -55,7 +67,8 @@
     for router in routers:
         router.write_settings(store, routers, MEMORY_MB)
         router.start()
-    parts_count = PARTS if has_trouble else 3
+    parts_count = SHARED_PARTS if has_trouble else 2
+    prompts = [shared_prompt(parts_count) for _ in range(SHARED_PROMPTS)]
     statuses: Counter[int] = Counter()
     watchers = []
     try:
@@ -69,8 +82,11 @@
                 'Host': HOST,
                 'Dotterelhatch-Request-Id': request_id,
                 'Dotterelhatch-Model': 'm',
-                'Dotterelhatch-Token-Counts': f'{INPUT_TOKENS},50',
-                'Dotterelhatch-Prompt-Prefix': prompt_prefix(parts_count),
+                'Dotterelhatch-Token-Counts': f'{SHARED_TOKENS + OWN_TOKENS},50',
+                'Dotterelhatch-Prompt-Prefix': (
+                    f'{random.choice(prompts)},'
+                    f'{random.getrandbits(32):08x}:{OWN_TOKENS}'
+                ),
                 'Dotterelhatch-Deadline-Ms': '5000',
                 'Authorization': 'Bearer key-1',
             }
@@ -102,8 +118,12 @@
             f'most {machine.peak_bytes / 2**20:.0f} MB'
         )
     record(f'answers: {dict(statuses)}')
+    if not statuses[200]:
+        raise CannotRunError('nothing was served')
     return not all(machine.ends_count >= 3 for machine in machines)
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(Path(__file__).parent, case))
+    # With TROUBLE=0 the case is played without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(run_case(Path(__file__).parent, case, has_trouble))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,14 @@
 """A requester names headers of the router in its Connection header."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from fleet import (  # noqa: E402
+    CannotRunError,
     Server,
     Record,
     Store,
@@ -57,7 +59,9 @@
             record(f'answer to {request_id}: {answer.status}')
     finally:
         router.kill()
-    held = len(server.ran) > 0
+    if not server.ran:
+        raise CannotRunError('nothing has run')
+    held = True
     for run in server.ran:
         request_id = run.headers['dotterelhatch-request-id']
         tenant = run.headers.get('dotterelhatch-tenant')
@@ -69,4 +73,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(Path(__file__).parent, case))
+    # With TROUBLE=0 the case is played without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(run_case(Path(__file__).parent, case, has_trouble))
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -451,7 +451,11 @@
             if await self.is_ready():
                 return
             await asyncio.sleep(0.1)
-        raise CannotRunError(f'{self.name} does not become ready')
+        log = (self._folder / f'{self.name}.log').read_text()
+        raise CannotRunError(
+            f'{self.name} does not become ready: exit code '
+            f'{self.popen.poll()}, end of its log: {log[-1500:]}'
+        )
 
 
 class Machine:
@@ -556,6 +560,7 @@
     version: int,
     tenants: list[dict[str, Any]],
     service: str = 'greaselog-app',
+    engine_tokens: int = 456833,
 ) -> dict[str, Any]:
     """Return a desired state with a plain and a streaming route."""
     return {
@@ -593,7 +598,7 @@
                 'name': 'hatch-llm',
                 'health-path': '/health',
                 'max-conns': 360,
-                'engine': {'slots': 64, 'kv-capacity-tokens': 456833},
+                'engine': {'slots': 64, 'kv-capacity-tokens': engine_tokens},
             },
         ],
         'limits': {
@@ -638,9 +643,14 @@
 
 
 def make_routers(folder: Path, count: int) -> list[Router]:
-    """Return routers with a loopback address each."""
-    subnet = random.SystemRandom().randrange(1, 255)
-    hosts = [f'127.0.{subnet}.{number + 1}' for number in range(count)]
+    """Return routers with a loopback address each.
+
+    All have the same metrics port, so cases that run at the same time need
+    addresses of their own.
+    """
+    rng = random.SystemRandom()
+    net = f'127.{rng.randrange(1, 255)}.{rng.randrange(1, 255)}'
+    hosts = [f'{net}.{number + 1}' for number in range(count)]
     ports = free_ports(hosts, 5)
     return [
         Router(folder, f'edge-kochi-a-{index + 1}', host, ports)
@@ -651,6 +661,7 @@
 def run_case(
     folder: Path,
     case: Callable[[Record, Path, bool], Awaitable[bool]],
+    has_trouble: bool,
 ) -> int:
     """Play a case and return the exit code.
 
@@ -658,7 +669,6 @@
         happens; returns whether the rule held.
     """
     record = Record(folder)
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record(f'disruption: {"yes" if has_trouble else "no"}')
     # A case that is ended ends its processes too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
