Count asked, placed and begun tokens by organisation in the load line

What operators saw: an organisation was rejected as over its share while hardly anything of it ran, and no line could tell why: placements were counted as usage, and nothing counted what a target began to answer.

The load line now has the tokens of the second (asked, placed, begun) and those of the fleet with the fair share; organisation_tokens_total tells placed from begun. No decision changes. The test of the load line checks the new fields as well.

--- a/src/dotterelhatch/core/fairshare.py
+++ b/src/dotterelhatch/core/fairshare.py
@@ -141,15 +141,28 @@
 
         :returns: 0 if the capacity covers all demands.
         """
+        share_tokens = self.fair_share_tokens(now_seconds)
+        placed_tokens = self._fair_share.placed_elsewhere.get(organisation, 0)
+        placed_tokens += self._local.get(organisation, _ZERO).begun_tokens
+        return placed_tokens / max(1, share_tokens)
+
+    def fair_share_tokens(self, now_seconds: float) -> float:
+        """Return the max-min fair share within the window.
+
+        :returns: infinity if the capacity covers all demands.
+        """
         self._expire(now_seconds)
         if (
             now_seconds - self._fair_share.seconds
             >= _FAIR_SHARE_LIFETIME_SECONDS
         ):
             self._fair_share = self._compute_fair_share(now_seconds)
-        placed_tokens = self._fair_share.placed_elsewhere.get(organisation, 0)
-        placed_tokens += self._local.get(organisation, _ZERO).begun_tokens
-        return placed_tokens / max(1, self._fair_share.tokens)
+        return self._fair_share.tokens
+
+    def total_usage(self, organisation: OrganisationId) -> Usage:
+        """Return the usage of an organisation at all routers."""
+        local = self._local.get(organisation, _ZERO)
+        return local.plus(self._reported.get(organisation))
 
     def _compute_fair_share(self, now_seconds: float) -> '_FairShare':
         totals = self._totals(now_seconds)
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -384,7 +384,7 @@
                 )
             )
         if self._routed.organisation is not None and self._routed.tokens:
-            state.count_begun_tokens(
+            state.count_placed_tokens(
                 self._routed.service,
                 self._routed.organisation,
                 self._routed.tokens,
@@ -400,6 +400,13 @@
             self._end_attempt(attempt)
         return next_step
 
+    def _report_begun(self) -> None:
+        routed = self._routed
+        if routed.organisation is not None and routed.tokens:
+            self._state.report_begun_tokens(
+                routed.service, routed.organisation, routed.tokens
+            )
+
     def _end_attempt(self, attempt: Attempt) -> None:
         state = self._state
         target = attempt.placement.entry.id
@@ -475,6 +482,7 @@
         if self._routed.route.is_stream and is_success(response.status):
             await self._relay_stream(attempt, relay, response, in_flight)
         else:
+            self._report_begun()
             body = await response.read_all()
             failed = response.status >= _SERVER_ERROR
             attempt.outcome = (
@@ -596,6 +604,7 @@
             if attempt.first_event_seconds is None:
                 attempt.first_event_seconds = now_seconds
                 in_flight.on_first_event()
+                self._report_begun()
                 state.health.on_latency(
                     target,
                     attempt.placement.expected_seconds,
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -473,13 +473,10 @@
         metrics = state.metrics
         connections_count = self._callers.connections_count
         metrics.open_connections.set(connections_count)
-        now_seconds = state.clock()
         state.load_report.write(
             self._callers.counts,
             self._selector.waited_seconds if self._selector else 0,
-            lambda organisation: state.fair_shares.fair_share_ratio(
-                organisation, now_seconds
-            ),
+            state.share_facts,
             loop_lag_ms=round(
                 state.loop_lag.take_highest() * _MILLISECONDS_PER_SECOND
             ),
--- a/src/dotterelhatch/gateway/loadreport.py
+++ b/src/dotterelhatch/gateway/loadreport.py
@@ -42,6 +42,7 @@
         self._waited_seconds = 0.0
         self._connections: dict[str, int] = {}
         self._requests: dict[OrganisationId | None, Counter[str]] = {}
+        self._tokens: dict[OrganisationId, Counter[str]] = {}
 
     def on_arrived(self, organisation: OrganisationId | None) -> None:
         """Count a request whose organisation is known."""
@@ -56,11 +57,21 @@
         """
         self._count(organisation, event)
 
+    def on_tokens(
+        self, organisation: OrganisationId, event: str, tokens: int
+    ) -> None:
+        """Count the tokens of a step in the handling of a request.
+
+        :param event: ``asked``, ``placed`` or ``begun``.
+        """
+        counts = self._tokens.setdefault(organisation, Counter())
+        counts[f'{event}_tokens'] += tokens
+
     def write(
         self,
         counts: ConnectionCounts,
         waited_seconds: float,
-        used_share: Callable[[OrganisationId], float],
+        share_facts: Callable[[OrganisationId], Mapping[str, Any]],
         **facts: Any,
     ) -> None:
         """Log the counts since the last line and update the metrics.
@@ -68,8 +79,8 @@
         :param counts: of the connections of callers since the start.
         :param waited_seconds: time that the event loop has waited for events
             since the start.
-        :param used_share: returns the usage of an organisation relative to its
-            fair share.
+        :param share_facts: returns the usage of an organisation in the whole
+            fleet and its fair share.
         """
         now_seconds = self._clock()
         elapsed_seconds = now_seconds - self._written_seconds
@@ -82,13 +93,22 @@
             self._metrics.connections.labels(event).inc(count)
         requests = self._requests
         self._requests = {}
+        tokens = self._tokens
+        self._tokens = {}
         log_decision(
             Decision.LOAD,
             elapsed_ms=round(elapsed_seconds * _MILLISECONDS_PER_SECOND),
             busy_ms=round(busy_seconds * _MILLISECONDS_PER_SECOND),
             connections=connections,
             requests=sum(requests.values(), Counter()),
-            organisations=_busiest(requests, used_share),
+            organisations={
+                organisation: {
+                    **counts,
+                    **tokens.get(organisation, {}),
+                    **share_facts(organisation),
+                }
+                for organisation, counts in _busiest(requests).items()
+            },
             **facts,
         )
 
@@ -111,8 +131,7 @@
 
 def _busiest(
     requests: Mapping[OrganisationId | None, Counter[str]],
-    used_share: Callable[[OrganisationId], float],
-) -> dict[str, Any]:
+) -> dict[OrganisationId, Counter[str]]:
     """Return the counts of the organisations with the most arrivals."""
     known = [
         (organisation, counts)
@@ -120,10 +139,4 @@
         if organisation is not None
     ]
     known.sort(key=lambda entry: entry[1][_ARRIVED], reverse=True)
-    return {
-        organisation: {
-            **counts,
-            'used_share': round(used_share(organisation), 2),
-        }
-        for organisation, counts in known[:_MAX_ORGANISATIONS_COUNT]
-    }
+    return dict(known[:_MAX_ORGANISATIONS_COUNT])
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Final
+from typing import Any, Final
 
 import curio
 
@@ -236,9 +236,7 @@
         self.fair_share_tracker(service).on_arrived(
             organisation, tokens, self.clock()
         )
-        self.metrics.organisation_tokens.labels(
-            service.id, organisation, 'asked'
-        ).inc(tokens)
+        self._report_tokens(service, organisation, 'asked', tokens)
 
     def count_rejected_demand(
         self,
@@ -260,16 +258,36 @@
             route_name, self.clock(), admitted=False
         )
 
-    def count_begun_tokens(
+    def count_placed_tokens(
         self, service: ServiceSpec, organisation: OrganisationId, tokens: int
     ) -> None:
         """Count a request that is placed on a target for the fair shares."""
         self.fair_share_tracker(service).on_placed(
             organisation, tokens, self.clock()
         )
-        self.metrics.organisation_tokens.labels(
-            service.id, organisation, 'begun'
-        ).inc(tokens)
+        self._report_tokens(service, organisation, 'placed', tokens)
+
+    def report_begun_tokens(
+        self, service: ServiceSpec, organisation: OrganisationId, tokens: int
+    ) -> None:
+        """Report a request that a target has begun to answer."""
+        self._report_tokens(service, organisation, 'begun', tokens)
+
+    def share_facts(self, organisation: OrganisationId) -> dict[str, Any]:
+        """Return the usage of engines by an organisation for a log line."""
+        now_seconds = self.clock()
+        shares = self.fair_shares
+        used_share = shares.fair_share_ratio(organisation, now_seconds)
+        usage = shares.total_usage(organisation)
+        share_tokens = shares.fair_share_tokens(now_seconds)
+        return {
+            'used_share': round(used_share, 2),
+            'fleet_asked_tokens': usage.asked_tokens,
+            'fleet_placed_tokens': usage.begun_tokens,
+            'share_tokens': round(share_tokens)
+            if math.isfinite(share_tokens)
+            else None,
+        }
 
     def record_sent_prompt(self, sent: SentPrompt) -> None:
         """Record a prompt sent to a target, also for the next heartbeat."""
@@ -377,6 +395,19 @@
         own_rate = self.arrivals.per_second(now_seconds)
         return {**rates, self.settings.router_id: own_rate}
 
+    def _report_tokens(
+        self,
+        service: ServiceSpec,
+        organisation: OrganisationId,
+        event: str,
+        tokens: int,
+    ) -> None:
+        self.metrics.organisation_tokens.labels(
+            service.id, organisation, event
+        ).inc(tokens)
+        if service.engine is not None:
+            self.load_report.on_tokens(organisation, event, tokens)
+
     def _live_routers(self) -> list[RouterId]:
         return [peer.router for peer in self.peers.live(self.clock())]
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -459,7 +459,13 @@
         'placed': 1,
         'answered': 1,
         'router_overloaded': 1,
+        'asked_tokens': 2120,
+        'placed_tokens': 1060,
+        'begun_tokens': 1060,
         'used_share': 1.0,
+        'fleet_asked_tokens': 2120,
+        'fleet_placed_tokens': 1060,
+        'share_tokens': 1060,
     }
     assert line['loop_lag_ms'] == 60_000
     assert line['waiting_count'] == 0
