Order the states of a document by revision, era and version

Cause: the versions of the store were taken for points of one history.

Change: a state of a document is ordered by the operator's revision, the era that the store names in its responses and the version, in this order. A configuration is not taken back by a copy, and a router that starts gets it from its peers. Changes of another era have the whole table read again, late pages of a former one are ignored, and targets that the copy lacks are kept for the grace period. A header that is absent, ambiguous or no number says nothing, and the page counts as one of the present era. Builds that know no eras still get versions; theirs count as of the first era here.

--- a/src/dotterelhatch/core/confirmations.py
+++ b/src/dotterelhatch/core/confirmations.py
@@ -10,10 +10,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from dotterelhatch.core.documents import DocumentPoint
+
 __all__ = ('DocumentConfirmations',)
 
 # A reachable source or peer answers within milliseconds.
 _MAX_WAIT_SECONDS: Final = 1.0
+_NO_POINT: Final = DocumentPoint()
 
 
 class DocumentConfirmations:
@@ -48,17 +51,18 @@
             self._unconfirmed.discard(document)
 
     def on_peer(
-        self, versions: Mapping[str, int], own_versions: Mapping[str, int]
+        self,
+        points: Mapping[str, DocumentPoint],
+        own_points: Mapping[str, DocumentPoint],
     ) -> None:
-        """Confirm documents of which a peer has no newer version.
+        """Confirm documents that a peer has in no newer state.
 
-        :param versions: those of a peer that is in touch with the sources.
+        :param points: those of a peer that is in touch with the sources.
         """
-        self._unconfirmed = {
+        self._unconfirmed -= {
             document
-            for document in self._unconfirmed
-            if versions.get(document, -1) < 0
-            or versions[document] > own_versions.get(document, -1)
+            for document in self._unconfirmed & points.keys()
+            if points[document] <= own_points.get(document, _NO_POINT)
         }
 
     def wait_seconds(self, now_seconds: float) -> float:
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -7,6 +7,7 @@
 
 from dotterelhatch.core.admission import AdmissionCounts
 from dotterelhatch.core.crashcauses import CrashEvidence
+from dotterelhatch.core.documents import DocumentPoint
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import SentPrompt
@@ -87,7 +88,9 @@
     :param is_ready: whether callers should connect to the router.
     :param is_accepting: whether connections are accepted, which continues for
         a while after the router has started to shut down.
-    :param snapshot_versions: version of each document that the router has.
+    :param snapshot_versions: version of each document that the router has,
+        for builds that know no points.
+    :param snapshot_points: point of each document in its history.
     :param loads: local load of each target.
     :param totals: omitted from most heartbeats, because they change slowly.
     :param is_source_seen: whether the sources of the documents answered the
@@ -114,6 +117,15 @@
     requests_per_second: float = 0
     sent_prompts: tuple[SentPrompt, ...] = ()
     refused: tuple[tuple[str, float], ...] = ()
+    snapshot_points: Mapping[str, DocumentPoint] = field(default_factory=dict)
+
+    @property
+    def documents(self) -> Mapping[str, DocumentPoint]:
+        """Return the point of each document, as far as its build tells."""
+        return self.snapshot_points or {
+            name: DocumentPoint(version=version)
+            for name, version in self.snapshot_versions.items()
+        }
 
 
 @dataclass(slots=True)
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -304,7 +304,8 @@
             return
         if heartbeat.is_source_seen and not state.confirmations.is_complete:
             state.confirmations.on_peer(
-                heartbeat.snapshot_versions, self.snapshot_store.versions()
+                self.snapshot_store.complete(heartbeat.documents),
+                self.snapshot_store.points(),
             )
         state.load_tracker.on_report(
             heartbeat.router, heartbeat.loads, now_seconds
@@ -326,16 +327,17 @@
 
         A document that this router does not have yet is fetched at once.
         """
-        local_versions = self.snapshot_store.versions()
-        for name, version in heartbeat.snapshot_versions.items():
-            known_version = local_versions.get(name, -1)
-            if version <= known_version:
+        local_points = self.snapshot_store.points()
+        documents = self.snapshot_store.complete(heartbeat.documents)
+        for name, point in documents.items():
+            known_point = local_points.get(name)
+            if known_point is not None and point <= known_point:
                 continue
             since_seconds = self._newer_at_peer_since.setdefault(
                 name, now_seconds
             )
             if (
-                known_version >= 0
+                known_point is not None
                 and now_seconds - since_seconds < _PEER_FETCH_DELAY_SECONDS
             ):
                 continue
@@ -405,6 +407,7 @@
             self._identity_heartbeat(),
             sequence=self._sequence,
             snapshot_versions=self.snapshot_store.versions(),
+            snapshot_points=self.snapshot_store.points(),
             loads=state.load_tracker.local_loads,
             totals=self._totals_if_due(now_seconds),
             sent_prompts=state.prompt_reports.take(),
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -54,6 +54,7 @@
     CLOCK_GAP = 'clock_gap'
     DEPENDENCY_LOST = 'dependency_lost'
     DEPENDENCY_REGAINED = 'dependency_regained'
+    DEPENDENCY_RESTORED = 'dependency_restored'
     STARTED = 'started'
     RELOADED = 'reloaded'
     LEAVING = 'leaving'
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -144,6 +144,8 @@
         heartbeat.requests_per_second,
         *heartbeat.snapshot_versions.values(),
     ]
+    for point in heartbeat.snapshot_points.values():
+        numbers.extend((point.revision, point.era + 1, point.version))
     for load in heartbeat.loads.values():
         numbers.extend(
             (load.requests_count, load.unread_tokens, load.memory_tokens)
--- a/src/dotterelhatch/gateway/snapshots.py
+++ b/src/dotterelhatch/gateway/snapshots.py
@@ -6,13 +6,15 @@
 
 import logging
 import re
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, replace
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
+from dotterelhatch.core.documents import UNKNOWN_ERA, DocumentPoint
 from dotterelhatch.ids import RouterId
 from dotterelhatch.net.http import (
+    Headers,
     HttpError,
     Response,
     ServerExchange,
@@ -30,6 +32,8 @@
 _LOGGER: Final = logging.getLogger(__name__)
 _PATH: Final = '/snapshots'
 _VERSION_HEADER: Final = 'X-Snapshot-Version'
+_REVISION_HEADER: Final = 'X-Snapshot-Revision'
+_ERA_HEADER: Final = 'X-Snapshot-Era'
 _FETCH_TIMEOUT_SECONDS: Final = 1.0
 _MAX_SNAPSHOT_BYTES: Final = 16_777_216
 # Fits into 64 bits, as the version is a field of heartbeats.
@@ -46,12 +50,21 @@
 class Snapshot:
     """One version of a document.
 
-    :param version: increases with every change at the source.
+    :param version: increases with every change at the source in one era.
+    :param revision: see :class:`DocumentPoint`.
+    :param era: of the source.
     """
 
     name: str
     version: int
     content: bytes
+    revision: int = 0
+    era: int = UNKNOWN_ERA
+
+    @property
+    def point(self) -> DocumentPoint:
+        """Return the point in the history of the document."""
+        return DocumentPoint(self.revision, self.era, self.version)
 
 
 Subscriber = Callable[[Snapshot], Awaitable[None]]
@@ -63,6 +76,7 @@
     def __init__(self) -> None:
         """Create an empty store."""
         self._snapshots: dict[str, Snapshot] = {}
+        self._first_eras: dict[str, int] = {}
         self._subscribers: dict[str, Subscriber] = {}
 
     def subscribe(self, name: str, subscriber: Subscriber) -> None:
@@ -78,6 +92,24 @@
             name: snapshot.version for name, snapshot in self._snapshots.items()
         }
 
+    def points(self) -> dict[str, DocumentPoint]:
+        """Return the point of each document in its history."""
+        return {
+            name: snapshot.point for name, snapshot in self._snapshots.items()
+        }
+
+    def complete(
+        self, points: Mapping[str, DocumentPoint]
+    ) -> dict[str, DocumentPoint]:
+        """Return the points of a peer, with eras where its build knows none.
+
+        Its version counts as one of the first era that was known here: it may
+        have been given out before the source came back from a copy.
+        """
+        return {
+            name: self._with_era(name, point) for name, point in points.items()
+        }
+
     def get(self, name: str) -> Snapshot | None:
         """Return the newest snapshot of a document."""
         return self._snapshots.get(name)
@@ -88,14 +120,24 @@
         The subscriber is called only if the content has changed.
         """
         known = self._snapshots.get(snapshot.name)
-        if known is not None and known.version >= snapshot.version:
+        point = self._with_era(snapshot.name, snapshot.point)
+        if known is not None and known.point >= point:
             return False
+        snapshot = replace(snapshot, revision=point.revision, era=point.era)
         if known is None or known.content != snapshot.content:
             if not await self._apply(snapshot):
                 return False
         self._snapshots[snapshot.name] = snapshot
+        self._first_eras.setdefault(snapshot.name, snapshot.era)
         return True
 
+    def _with_era(self, name: str, point: DocumentPoint) -> DocumentPoint:
+        known = self._snapshots.get(name)
+        if known is None or point.era != UNKNOWN_ERA:
+            return point
+        era = self._first_eras[name]
+        return DocumentPoint(known.revision, era, point.version)
+
     async def _apply(self, snapshot: Snapshot) -> bool:
         subscriber = self._subscribers.get(snapshot.name)
         if subscriber is None:
@@ -132,7 +174,12 @@
         if snapshot is None:
             await exchange.send(Response(_NOT_FOUND, (), b''))
             return
-        headers = ((_VERSION_HEADER, str(snapshot.version)),)
+        headers: Headers = (
+            (_VERSION_HEADER, str(snapshot.version)),
+            (_REVISION_HEADER, str(snapshot.revision)),
+        )
+        if snapshot.era != UNKNOWN_ERA:
+            headers += ((_ERA_HEADER, str(snapshot.era)),)
         await exchange.send(Response(_OK, headers, snapshot.content))
 
 
@@ -154,7 +201,23 @@
             extra={'peer': router, 'snapshot': name, 'reason': str(error)},
         )
         return None
-    version = response.header(_VERSION_HEADER) or ''
-    if response.status != _OK or not _VERSION_PATTERN.fullmatch(version):
+    version = _number(response, _VERSION_HEADER)
+    if response.status != _OK or version is None:
         return None
-    return Snapshot(name, int(version), response.body)
+    return Snapshot(
+        name,
+        version,
+        response.body,
+        _number(response, _REVISION_HEADER) or 0,
+        _era(response),
+    )
+
+
+def _era(response: Response) -> int:
+    era = _number(response, _ERA_HEADER)
+    return UNKNOWN_ERA if era is None else era
+
+
+def _number(response: Response, name: str) -> int | None:
+    text = response.header(name) or ''
+    return int(text) if _VERSION_PATTERN.fullmatch(text) else None
--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the store rows of the operator and of the servers."""
 
+import functools
 import logging
 import re
 from collections.abc import Iterable
@@ -28,7 +29,11 @@
 from dotterelhatch.jsonmodel import MAX_INTEGER, InvalidDocumentError, JsonModel
 from dotterelhatch.platform.store import RowChange
 
-__all__ = ('decode_routing_table', 'decode_targets')
+__all__ = (
+    'configuration_version',
+    'decode_routing_table',
+    'decode_targets',
+)
 
 _LOGGER: Final = logging.getLogger(__name__)
 _MILLISECONDS_PER_SECOND: Final = 1000
@@ -63,6 +68,19 @@
     )
 
 
+def configuration_version(row: RowChange) -> int:
+    """Return the operator's version of a row, 0 if it is no valid table."""
+    return _valid_version(row.content or b'')
+
+
+@functools.lru_cache(maxsize=2)
+def _valid_version(content: bytes) -> int:
+    try:
+        return decode_routing_table(content).version
+    except InvalidDocumentError:
+        return 0
+
+
 def decode_targets(rows: Iterable[RowChange]) -> list[TargetEntry]:
     """Decode the rows of the servers as targets; skip malformed rows.
 
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -4,22 +4,25 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any, Final
 
 import curio
 
+from dotterelhatch.core.documents import UNKNOWN_ERA, DocumentPoint
 from dotterelhatch.core.outages import SourceOutage
+from dotterelhatch.core.routes import RoutingTable
 from dotterelhatch.fleet import RemoteAddress
 from dotterelhatch.gateway.daemon import Gateway
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.snapshots import InvalidSnapshotError, Snapshot
 from dotterelhatch.jsonmodel import InvalidDocumentError, JsonModel
 from dotterelhatch.platform.documents import (
+    configuration_version,
     decode_routing_table,
     decode_targets,
 )
-from dotterelhatch.platform.mirror import TableMirror
+from dotterelhatch.platform.mirror import RowRules, TableMirror
 from dotterelhatch.platform.store import (
     HistoryExpiredError,
     RowChange,
@@ -117,8 +120,13 @@
         self._regained_seconds: float | None = None
         self._watches: list[_WatchState] = []
         self._mirrors = {
-            name: TableMirror(name) for name in (_OPERATOR_TABLE, _SERVER_TABLE)
+            _OPERATOR_TABLE: TableMirror(
+                _OPERATOR_TABLE, RowRules(revision_of=configuration_version)
+            ),
+            _SERVER_TABLE: TableMirror(_SERVER_TABLE),
         }
+        # Era of the targets in use.
+        self._targets_era = UNKNOWN_ERA
         gateway.snapshot_store.subscribe(_OPERATOR_TABLE, self._apply_config)
         gateway.snapshot_store.subscribe(_SERVER_TABLE, self._apply_targets)
 
@@ -141,10 +149,8 @@
             resumed_seconds = self._gateway.state.confirmations.resumed_seconds
             for table_watch in self._watches:
                 poll = table_watch.poll
-                if poll is None or poll.called_seconds >= resumed_seconds:
-                    continue
-                table_watch.poll = None
-                await poll.task.cancel(exc=_PollAbortedError, blocking=False)
+                if poll and poll.called_seconds < resumed_seconds:
+                    await _abort_poll(table_watch)
 
     async def _watch_table(self, mirror: TableMirror) -> None:
         table_watch = _WatchState(mirror)
@@ -184,17 +190,11 @@
         mirror = table_watch.mirror
         is_whole_table = table_watch.since is None
         called_seconds = self._gateway.state.clock()
-        if table_watch.since is None:
-            page = await self._store.read_table(mirror.name)
-            if not mirror.replace(page):
-                raise StoreError('the store returned an outdated table')
-        else:
-            polled_page = await self._poll(table_watch, table_watch.since)
-            if polled_page is None:
-                return
-            page = polled_page
-            mirror.apply(page)
+        page = await self._read_page(table_watch)
+        if page is None:
+            return
         table_watch.since = page.version
+        table_watch.era = page.era
         table_watch.is_aligned = is_whole_table or bool(page.rows)
         self._gateway.state.metrics.malformed_inputs.labels('store').inc(
             page.malformed_count
@@ -207,6 +207,38 @@
             if mirror.name == _SERVER_TABLE:
                 await curio.sleep(_BATCH_DELAY_SECONDS)
 
+    async def _read_page(self, table_watch: '_WatchState') -> RowsPage | None:
+        """Read and apply a page; return None if the call was aborted."""
+        mirror = table_watch.mirror
+        if table_watch.since is not None:
+            page = await self._poll(table_watch, table_watch.since)
+            if page is not None:
+                _check_era(table_watch, page)
+                mirror.apply(page)
+            return page
+        whole_page = await self._store.read_table(mirror.name)
+        former = mirror.point
+        if not mirror.replace(whole_page):
+            raise StoreError('the store returned an outdated table')
+        if _is_restored(former.era, mirror.era):
+            await self._on_restored(mirror, former)
+        return whole_page
+
+    async def _on_restored(
+        self, mirror: TableMirror, former: DocumentPoint
+    ) -> None:
+        """Log that the store lost changes; read the other table again."""
+        log_decision(
+            Decision.DEPENDENCY_RESTORED,
+            dependency='store',
+            document=mirror.name,
+            former=asdict(former),
+            current=asdict(mirror.point),
+        )
+        for table_watch in self._watches:
+            if table_watch.mirror is not mirror:
+                await _abort_poll(table_watch)
+
     def _on_targets_regained(self, outage: SourceOutage) -> None:
         now_seconds = self._gateway.state.clock()
         if outage.can_entries_have_expired(now_seconds, self._renewal_seconds):
@@ -299,11 +331,22 @@
                 _LOGGER.error('configuration not applied: %s', error)
                 continue
             ignored_rows.set(0)
+            self._apply_newer_table(table)
+
+    def _apply_newer_table(self, table: RoutingTable) -> None:
+        """Apply a table, unless the operator wrote a newer one before."""
+        state = self._gateway.state
+        if state.table is None or table.version >= state.table.version:
             state.apply_table(table)
 
     async def _apply_targets(self, snapshot: Snapshot) -> None:
         state = self._gateway.state
-        rows = self._restore_if_newer(snapshot).rows
+        mirror = self._restore_if_newer(snapshot)
+        rows = mirror.rows
+        if _is_restored(self._targets_era, mirror.era):
+            # Targets that registered after the copy was made do so again.
+            self._regained_seconds = state.clock()
+        self._targets_era = mirror.era
         targets = decode_targets(rows)
         state.metrics.ignored_rows.labels(_SERVER_TABLE).set(
             len(rows) - len(targets)
@@ -312,7 +355,7 @@
 
     def _restore_if_newer(self, snapshot: Snapshot) -> TableMirror:
         mirror = self._mirrors[snapshot.name]
-        if snapshot.version <= mirror.version:
+        if snapshot.point <= mirror.point:
             return mirror
         try:
             mirror.restore(snapshot)
@@ -324,6 +367,33 @@
         return mirror
 
 
+def _is_restored(former_era: int, era: int) -> bool:
+    return era > former_era and former_era != UNKNOWN_ERA
+
+
+async def _abort_poll(table_watch: '_WatchState') -> None:
+    poll = table_watch.poll
+    if poll is not None:
+        table_watch.poll = None
+        await poll.task.cancel(exc=_PollAbortedError, blocking=False)
+
+
+def _check_era(table_watch: '_WatchState', page: RowsPage) -> None:
+    """Check that changes follow the rows that were read before.
+
+    :raises HistoryExpiredError: when the store came back from a copy meanwhile.
+    :raises StoreError: when it has done so since it sent the changes.
+    """
+    known, era = table_watch.era, page.era
+    if known is None or era is None or era == known:
+        return
+    if era < known:
+        raise StoreError(f'changes of the former era {era}')
+    raise HistoryExpiredError(
+        f'{table_watch.mirror.name}: the store came back with era {era}'
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Call:
     """What was known when a call was made.
@@ -348,6 +418,7 @@
     """State of watching one table.
 
     :param since: version read last, None to read the whole table.
+    :param era: of the store at that time, None if it names none.
     :param outage: the present outage, None if the last call was answered.
     :param is_aligned: whether the last call of all routers ended at the same
         time.
@@ -356,6 +427,7 @@
 
     mirror: TableMirror
     since: int | None = None
+    era: int | None = None
     outage: SourceOutage | None = None
     is_aligned: bool = True
     backoff_seconds: float = _MIN_BACKOFF_SECONDS
--- a/src/dotterelhatch/platform/mirror.py
+++ b/src/dotterelhatch/platform/mirror.py
@@ -2,15 +2,22 @@
 
 import base64
 import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
+from dotterelhatch.core.documents import UNKNOWN_ERA, DocumentPoint
 from dotterelhatch.gateway.snapshots import InvalidSnapshotError, Snapshot
 from dotterelhatch.jsonmodel import MAX_INTEGER, describe_errors
 from dotterelhatch.platform.store import RowChange, RowsPage
 
-__all__ = ('TableMirror', 'decode_rows')
+__all__ = ('RowRules', 'TableMirror', 'decode_rows')
+
+
+def _no_revision(row: RowChange) -> int:
+    return 0
 
 
 _Version = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
@@ -19,16 +26,34 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RowRules:
+    """What the rows of a table mean after the store came back from a copy.
+
+    :param revision_of: returns the revision of a row, 0 for rows without.
+    """
+
+    revision_of: Callable[[RowChange], int] = _no_revision
+
+
 class TableMirror:
-    """Local copy of a table, complete up to a version.
+    """Local copy of a table, complete up to a version of an era.
+
+    The store may come back from an older copy of itself, with the next era.
+    A row with a higher revision than that of the copy
+    is kept, because its author does not take it back.
 
     :param name: of the table.
+    :param rules: for the rows of the table.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, rules: RowRules | None = None) -> None:
         """Start with no rows and a version below any real one."""
         self.name = name
         self.version = -1
+        self.era = UNKNOWN_ERA
+        self._rules = rules or RowRules()
+        self._revision = 0
         self._rows: dict[str, RowChange] = {}
 
     @property
@@ -36,12 +61,19 @@
         """Return all rows."""
         return list(self._rows.values())
 
+    @property
+    def point(self) -> DocumentPoint:
+        """Return the point in the history of the table."""
+        return DocumentPoint(self._revision, self.era, self.version)
+
     def replace(self, page: RowsPage) -> bool:
         """Replace all rows; return False and change nothing if outdated."""
-        if page.version < self.version:
+        era = self._era_of(page)
+        if (era, page.version) < (self.era, self.version):
             return False
-        self._rows = {row.key: row for row in page.rows}
-        self.version = page.version
+        rows = {row.key: row for row in page.rows}
+        rows |= self._kept_rows(rows, is_copy=era > self.era)
+        self._set_rows(rows, era, page.version)
         return True
 
     def apply(self, page: RowsPage) -> None:
@@ -55,6 +87,52 @@
             else:
                 self._rows[row.key] = row
             self.version = max(self.version, row.version)
+        self._note_revisions(page.rows)
+
+    def _set_rows(
+        self, rows: dict[str, RowChange], era: int, version: int
+    ) -> None:
+        self._rows = rows
+        self.era = era
+        self.version = version
+        self._note_revisions(rows.values())
+
+    def _note_revisions(self, rows: Iterable[RowChange]) -> None:
+        revisions = map(self._rules.revision_of, rows)
+        self._revision = max(self._revision, *revisions, 0)
+
+    def _era_of(self, page: RowsPage) -> int:
+        """Return the era of a page, that of the rows if it names none."""
+        return max(0, self.era) if page.era is None else page.era
+
+    def _kept_rows(
+        self, read: dict[str, RowChange], *, is_copy: bool
+    ) -> dict[str, RowChange]:
+        """Return the rows that are newer than those of an older copy.
+
+        They get the versions of the copy, so that any later write replaces
+        them.
+
+        :param is_copy: whether the rows are read for the first time since the
+            store came back.
+        """
+        kept = {}
+        for key, row in self._rows.items():
+            other = read.get(key)
+            if other is None:
+                is_newer = self._rules.revision_of(row) > 0
+                is_newer = is_newer and (is_copy or not row.version)
+                version = 0
+            else:
+                is_newer = self._revision_exceeds(row, other)
+                version = other.version
+            if is_newer:
+                kept[key] = RowChange(key, row.content, version)
+        return kept
+
+    def _revision_exceeds(self, row: RowChange, other: RowChange) -> bool:
+        revision_of = self._rules.revision_of
+        return revision_of(row) > revision_of(other)
 
     def snapshot(self) -> Snapshot:
         """Return the rows as a snapshot for peers."""
@@ -67,7 +145,10 @@
             for row in sorted(self._rows.values(), key=lambda row: row.key)
         ]
         content = json.dumps(rows, separators=(',', ':')).encode()
-        return Snapshot(self.name, self.version, content)
+        point = self.point
+        return Snapshot(
+            self.name, self.version, content, point.revision, self.era
+        )
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replace all rows by the snapshot of a peer.
@@ -75,8 +156,9 @@
         :raises InvalidSnapshotError: when it is malformed; nothing changes.
         """
         rows = decode_rows(snapshot.content)
-        self._rows = {row.key: row for row in rows}
-        self.version = snapshot.version
+        current = {row.key: row for row in rows}
+        self._set_rows(current, snapshot.era, snapshot.version)
+        self._revision = max(self._revision, snapshot.revision)
 
 
 def decode_rows(content: bytes) -> list[RowChange]:
--- a/src/dotterelhatch/platform/store.py
+++ b/src/dotterelhatch/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import logging
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, Final
@@ -11,7 +12,7 @@
 from pydantic import Field
 
 from dotterelhatch.jsonmodel import MAX_INTEGER, InvalidDocumentError, JsonModel
-from dotterelhatch.net.http import HttpError, Response, fetch
+from dotterelhatch.net.http import Headers, HttpError, Response, fetch
 
 __all__ = (
     'HistoryExpiredError',
@@ -30,6 +31,10 @@
 _PAGE_ROWS_COUNT: Final = 500
 _MAX_PAGE_BYTES: Final = 16_777_216
 _MILLISECONDS_PER_SECOND: Final = 1000
+# Rises each time that the store comes back from a copy of itself.
+_ERA_HEADER: Final = 'store-era'
+# Fits into 64 bits, as the era is a field of heartbeats.
+_ERA_PATTERN: Final = re.compile('[0-9]{1,18}')
 _OK: Final = 200
 _GONE: Final = 410
 _PRECONDITION_FAILED: Final = 412
@@ -67,12 +72,14 @@
     :param version: newest version of the whole store.
     :param has_more: whether further pages follow.
     :param malformed_count: rows that were left out.
+    :param era: of the store, None if the response does not name it.
     """
 
     rows: tuple[RowChange, ...]
     version: int
     has_more: bool = False
     malformed_count: int = 0
+    era: int | None = None
 
 
 class Store:
@@ -97,15 +104,22 @@
         :raises StoreError: when the call fails.
         """
         rows: list[RowChange] = []
-        page = await self._read_page(table, '')
-        version = page.version
+        first = await self._read_page(table, '')
+        page = first
         rows += page.rows
         malformed_count = page.malformed_count
         while page.has_more and page.rows:
             page = await self._read_page(table, f'{page.rows[-1].key}\0')
+            if page.era != first.era:
+                raise StoreError(f'{table}: the era changed between two pages')
             rows += page.rows
             malformed_count += page.malformed_count
-        return RowsPage(tuple(rows), version, malformed_count=malformed_count)
+        return RowsPage(
+            tuple(rows),
+            first.version,
+            malformed_count=malformed_count,
+            era=first.era,
+        )
 
     async def read_changes(
         self, table: str, since: int, wait_seconds: float
@@ -233,7 +247,28 @@
     rows = _decode_rows(page)
     changes = tuple(_change(row) for row in rows if not row.part)
     malformed_count = len(page.rows) - len(rows)
-    return RowsPage(changes, page.version, page.has_more, malformed_count)
+    return RowsPage(
+        changes,
+        page.version,
+        page.has_more,
+        malformed_count,
+        _era(response.headers),
+    )
+
+
+def _era(headers: Headers) -> int | None:
+    """Return the era that a response names.
+
+    :returns: None if it names none, several, or no valid one.
+    """
+    texts = {text for name, text in headers if name.lower() == _ERA_HEADER}
+    if not texts:
+        return None
+    text = texts.pop()
+    if texts or not _ERA_PATTERN.fullmatch(text):
+        _LOGGER.warning('the store names the invalid era %r', text[:32])
+        return None
+    return int(text)
 
 
 class _Page(JsonModel):
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -3,13 +3,13 @@
 import base64
 import enum
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import curio
 
-from dotterelhatch.net.http import Response, ServerExchange
+from dotterelhatch.net.http import Headers, Response, ServerExchange
 
 __all__ = ('RowStore', 'StoreFault')
 
@@ -38,11 +38,13 @@
 class RowStore:
     """Rows with versions and a change feed whose history can be compacted.
 
+    :param era: sent with all responses, None to leave it out.
     :param called_paths: paths of all calls so far.
     :param oldest_version: feeds from an older version get 410.
     """
 
     fault: StoreFault | None = None
+    era: int | None = 1
     called_paths: list[str] = field(default_factory=list)
     version: int = 0
     oldest_version: int = 0
@@ -71,6 +73,21 @@
         """Discard the history, so that open feeds get 410."""
         self.oldest_version = self.version + 1
 
+    def copy(self) -> dict[tuple[str, str], '_StoredRow']:
+        """Return a copy of the rows for :meth:`restore`."""
+        return {key: replace(row) for key, row in self._rows.items()}
+
+    def restore(
+        self, copied: dict[tuple[str, str], '_StoredRow'], version: int
+    ) -> None:
+        """Come back from a copy: later changes are gone, the era rises.
+
+        :param version: of the store when the copy was made.
+        """
+        self._rows = dict(copied)
+        self.version = version
+        self.era = (self.era or 0) + 1
+
     def stall_feeds(self) -> None:
         """Leave the feeds in progress without a response for good."""
         self._stalled_feeds = self._feeds
@@ -136,7 +153,7 @@
         self, exchange: ServerExchange, query: dict[str, str]
     ) -> None:
         since = int(query['since-rev'])
-        if since < self.oldest_version:
+        if since < self.oldest_version or since > self.version:
             await self._send_json(exchange, 410, {})
             return
         self._feeds += 1
@@ -183,7 +200,9 @@
     async def _send_json(
         self, exchange: ServerExchange, status: int, document: Any
     ) -> None:
-        headers = (('Content-Type', 'application/json'),)
+        headers: Headers = (('Content-Type', 'application/json'),)
+        if self.era is not None:
+            headers += (('Store-Era', str(self.era)),)
         body = json.dumps(document).encode()
         await exchange.send(Response(status, headers, body))
 
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -3,11 +3,20 @@
 import pytest
 
 from dotterelhatch.core.confirmations import DocumentConfirmations
+from dotterelhatch.core.documents import DocumentPoint
 from dotterelhatch.gateway.suspension import SuspensionDetector
 
 OWN = {'op': 7, 'servers': 30}
 
 
+def points(versions: dict[str, int]) -> dict[str, DocumentPoint]:
+    """Return the points of documents in an era."""
+    return {
+        name: DocumentPoint(era=1, version=version)
+        for name, version in versions.items()
+    }
+
+
 def resumed() -> DocumentConfirmations:
     """Return confirmations of a router that runs again since 10 s."""
     confirmations = DocumentConfirmations()
@@ -49,7 +58,7 @@
 ) -> None:
     """Guards against a wait for the source while a peer knows the answer."""
     confirmations = resumed()
-    confirmations.on_peer(versions, OWN)
+    confirmations.on_peer(points(versions), points(OWN))
     assert confirmations.is_complete is is_complete
 
 
--- a/tests/test_odd_heartbeats.py
+++ b/tests/test_odd_heartbeats.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from dotterelhatch.core.documents import DocumentPoint
 from dotterelhatch.core.peers import Heartbeat
 from dotterelhatch.gateway import heartbeats
 from dotterelhatch.gateway.daemon import Gateway
@@ -73,6 +74,10 @@
     'rate-no-number': datagram(requests_per_second=math.nan),
     'rate-infinite': datagram(requests_per_second=math.inf),
     'rate-negative': datagram(requests_per_second=-1.0),
+    'point-negative': datagram(snapshot_points={'op': DocumentPoint(0, 1, -2)}),
+    'point-beyond-signed': datagram(
+        snapshot_points={'op': DocumentPoint(2**63, 1, 2)}
+    ),
     'version-negative': datagram(snapshot_versions={'op': -1}),
     'version-beyond-signed': datagram(snapshot_versions={'op': 2**63}),
     'load-negative': datagram(loads={'i-1': {'requests_count': -1}}),
