Leave out rows that return with an older copy of the store

Cause: a row that was removed after the copy was made is in the copy again and looks like that of a new server.

Change: the mirror remembers which starts of servers were removed, 4,096 at most, and leaves them out until their rows are written again. Another start under the same id counts as new, and so does a row that is written later in the same era. A router that starts after the restore knows nothing of the removals; that stays open.

The test of the adapter failed before: the server that had left was used.

--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -33,6 +33,7 @@
     'configuration_version',
     'decode_routing_table',
     'decode_targets',
+    'server_start',
 )
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -81,6 +82,14 @@
         return 0
 
 
+def server_start(row: RowChange) -> tuple[str, int]:
+    """Return the id of a server and its start, 0 if the row is malformed."""
+    try:
+        return row.key, _ServerRow.decode(row.content or b'').born
+    except InvalidDocumentError:
+        return row.key, 0
+
+
 def decode_targets(rows: Iterable[RowChange]) -> list[TargetEntry]:
     """Decode the rows of the servers as targets; skip malformed rows.
 
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -21,6 +21,7 @@
     configuration_version,
     decode_routing_table,
     decode_targets,
+    server_start,
 )
 from dotterelhatch.platform.mirror import RowRules, TableMirror
 from dotterelhatch.platform.store import (
@@ -123,7 +124,9 @@
             _OPERATOR_TABLE: TableMirror(
                 _OPERATOR_TABLE, RowRules(revision_of=configuration_version)
             ),
-            _SERVER_TABLE: TableMirror(_SERVER_TABLE),
+            _SERVER_TABLE: TableMirror(
+                _SERVER_TABLE, RowRules(identity_of=server_start)
+            ),
         }
         # Era of the targets in use.
         self._targets_era = UNKNOWN_ERA
--- a/src/dotterelhatch/platform/mirror.py
+++ b/src/dotterelhatch/platform/mirror.py
@@ -2,7 +2,8 @@
 
 import base64
 import json
-from collections.abc import Callable, Iterable
+from collections import OrderedDict
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
@@ -16,10 +17,19 @@
 __all__ = ('RowRules', 'TableMirror', 'decode_rows')
 
 
+# Many times the rows that are removed in the time between a copy of the store
+# and its return.
+_MAX_REMOVED_COUNT: Final = 4096
+
+
 def _no_revision(row: RowChange) -> int:
     return 0
 
 
+def _key(row: RowChange) -> Hashable:
+    return row.key
+
+
 _Version = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 _ROWS: Final = TypeAdapter(
     list[tuple[str, str, _Version]], config=ConfigDict(strict=True)
@@ -31,16 +41,20 @@
     """What the rows of a table mean after the store came back from a copy.
 
     :param revision_of: returns the revision of a row, 0 for rows without.
+    :param identity_of: returns what a row is about. What has been removed does
+        not return, but something else may get the same key.
     """
 
     revision_of: Callable[[RowChange], int] = _no_revision
+    identity_of: Callable[[RowChange], Hashable] = _key
 
 
 class TableMirror:
     """Local copy of a table, complete up to a version of an era.
 
     The store may come back from an older copy of itself, with the next era.
-    A row with a higher revision than that of the copy
+    Rows that were removed before may be in that copy; they are left out until
+    they are written again. A row with a higher revision than that of the copy
     is kept, because its author does not take it back.
 
     :param name: of the table.
@@ -55,6 +69,7 @@
         self._rules = rules or RowRules()
         self._revision = 0
         self._rows: dict[str, RowChange] = {}
+        self._removed: OrderedDict[Hashable, None] = OrderedDict()
 
     @property
     def rows(self) -> list[RowChange]:
@@ -71,8 +86,12 @@
         era = self._era_of(page)
         if (era, page.version) < (self.era, self.version):
             return False
-        rows = {row.key: row for row in page.rows}
+        rows = {
+            row.key: row for row in page.rows if not self._is_removed(row, era)
+        }
         rows |= self._kept_rows(rows, is_copy=era > self.era)
+        if era == self.era:
+            self._note_removed(self._rows.keys() - rows.keys())
         self._set_rows(rows, era, page.version)
         return True
 
@@ -83,9 +102,11 @@
             if current is not None and current.version >= row.version:
                 continue
             if row.content is None:
+                self._note_removed({row.key} & self._rows.keys())
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
+                self._removed.pop(self._rules.identity_of(row), None)
             self.version = max(self.version, row.version)
         self._note_revisions(page.rows)
 
@@ -96,6 +117,9 @@
         self.era = era
         self.version = version
         self._note_revisions(rows.values())
+        if self._removed:
+            for row in rows.values():
+                self._removed.pop(self._rules.identity_of(row), None)
 
     def _note_revisions(self, rows: Iterable[RowChange]) -> None:
         revisions = map(self._rules.revision_of, rows)
@@ -105,6 +129,19 @@
         """Return the era of a page, that of the rows if it names none."""
         return max(0, self.era) if page.era is None else page.era
 
+    def _is_removed(self, row: RowChange, era: int) -> bool:
+        """Return whether a row was removed and is not written again since."""
+        if not self._removed or row.version > self.version and era == self.era:
+            return False
+        return self._rules.identity_of(row) in self._removed
+
+    def _note_removed(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            identity = self._rules.identity_of(self._rows[key])
+            self._removed[identity] = None
+        while len(self._removed) > _MAX_REMOVED_COUNT:
+            self._removed.popitem(last=False)
+
     def _kept_rows(
         self, read: dict[str, RowChange], *, is_copy: bool
     ) -> dict[str, RowChange]:
@@ -156,7 +193,13 @@
         :raises InvalidSnapshotError: when it is malformed; nothing changes.
         """
         rows = decode_rows(snapshot.content)
-        current = {row.key: row for row in rows}
+        current = {
+            row.key: row
+            for row in rows
+            if not self._is_removed(row, snapshot.era)
+        }
+        if snapshot.era == self.era:
+            self._note_removed(self._rows.keys() - current.keys())
         self._set_rows(current, snapshot.era, snapshot.version)
         self._revision = max(self._revision, snapshot.revision)
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+import curio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -101,6 +102,35 @@
                 await until(lambda: router.targets == ['i-1', 'i-2'])
 
 
+@run_async
+async def test_a_server_that_left_before_a_restore_is_not_used_again() -> None:
+    """Guards against rows of the copy whose servers are gone.
+
+    Their addresses may be those of other servers by now. A server whose row
+    the copy lacks stays in use until it has had time to write it again.
+    """
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            store.put('servers', 'i-2', SERVER)
+            await until(lambda: router.targets == ['i-1', 'i-2'])
+            copied, version = store.copy(), store.version
+            store.put('servers', 'i-3', SERVER)
+            store.delete('servers', 'i-2')
+            await until(lambda: router.targets == ['i-1', 'i-3'])
+            store.restore(copied, version)
+            points = router.gateway.snapshot_store.points
+            era = 2
+            await until(lambda: points()['servers'].era == era)
+            assert router.targets == ['i-1', 'i-3']
+            store.put('servers', 'i-3', SERVER)
+            store.compact()
+            await curio.sleep(0.5)
+            assert router.targets == ['i-1', 'i-3']
+            store.put('servers', 'i-2', SERVER | {'seq': 5})
+            await until(lambda: router.targets == ['i-1', 'i-2', 'i-3'])
+
+
 @pytest.mark.parametrize(
     ('headers', 'era'),
     [
@@ -130,6 +160,18 @@
     assert mirror.point == DocumentPoint(0, 2, 5)
 
 
+def test_a_row_that_returned_is_kept_when_the_table_is_read_again() -> None:
+    """Guards against a row that counts as removed for good."""
+    mirror = TableMirror('servers')
+    row = RowChange('i-1', b'{}', 5)
+    mirror.replace(RowsPage((row,), 5, era=1))
+    mirror.replace(RowsPage((), 6, era=1))
+    returned = replace(row, version=7)
+    for version in (7, 8):
+        mirror.replace(RowsPage((returned,), version, era=1))
+        assert mirror.rows == [returned]
+
+
 def test_builds_without_eras_are_followed_until_a_restore() -> None:
     """Guards against a rollout in which two builds do not exchange documents.
 
