Register a router again when the store has lost its row

What operators would see: after the store came back from a copy older than the start of a router, a router that starts when no seed exists any more finds no row of it and stays alone.

Cause: a router registered once per process and took the write for good.

Change: the row is written again at the next read of the table that lacks it. The test failed before.

--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -486,6 +486,10 @@
             )
             self._is_registered = True
         page = await self._store.read_table(_ROUTER_TABLE)
+        # A store that came back from an older copy has lost the row.
+        self._is_registered = any(
+            row.key == settings.router_id for row in page.rows
+        )
         state = self._gateway.state
         now_seconds = state.clock()
         live = {peer.router for peer in state.peers.live(now_seconds)}
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -131,6 +131,22 @@
             await until(lambda: router.targets == ['i-1', 'i-2', 'i-3'])
 
 
+@run_async
+async def test_a_router_registers_again_after_a_restore() -> None:
+    """Guards against a router that others can't find in the table."""
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        copied, version = store.copy(), store.version
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            table = 'dotterelhatch-routers'
+            await until(lambda: store.keys(table) == ['r1'])
+            store.restore(copied, version)
+            assert store.keys(table) == []
+            await router.discovery._refresh()  # noqa: SLF001
+            await router.discovery._refresh()  # noqa: SLF001
+            assert store.keys(table) == ['r1']
+
+
 @pytest.mark.parametrize(
     ('headers', 'era'),
     [
