--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,12 +2,13 @@
 
 import random
 import tempfile
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from soak.faults import FAULTS, REFUSALS
+from soak.faults import FAULTS, REFUSALS, RESTORES, Fault
 from soak.run import SoakSettings, run_soak
 
 __all__ = ('main',)
@@ -32,6 +33,9 @@
         bool,
         typer.Option(help='The store refuses one router after the other.'),
     ] = False,
+    restores: Annotated[
+        bool, typer.Option(help='The store comes back from older copies.')
+    ] = False,
     folder: Annotated[
         Path | None, typer.Option(help='Directory for settings and logs.')
     ] = None,
@@ -48,7 +52,7 @@
                 run_seed,
                 log_directory / str(run_seed),
                 seconds,
-                REFUSALS if refusals else FAULTS,
+                _faults(refusals=refusals, restores=restores),
             )
         )
         failed_count += bool(result.problems)
@@ -63,5 +67,11 @@
     raise typer.Exit(min(1, failed_count))
 
 
+def _faults(*, refusals: bool, restores: bool) -> Mapping[str, Fault]:
+    if restores:
+        return RESTORES
+    return REFUSALS if refusals else FAULTS
+
+
 if __name__ == '__main__':
     typer.run(main)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -150,6 +150,15 @@
         self.store.put('servers', name, server.row)
         return server
 
+    def write_again(self) -> None:
+        """Write what the store has lost since a copy of it was made."""
+        self.store.put('op', 'config', _config(self.config_version))
+        for name, server in self.servers.items():
+            self.store.put('servers', name, server.row)
+        for name in self.store.keys('servers'):
+            if name not in self.servers:
+                self.store.delete('servers', name)
+
     def drain_server(self, server: Server) -> None:
         """Mark a server as draining in the store; it keeps running."""
         server.drain_started_seconds = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,13 +10,16 @@
 from soak.proxy import FaultProxy, NetworkFault
 from standins.row_store import StoreFault
 
-__all__ = ('FAULTS', 'REFUSALS', 'Fault')
+__all__ = ('FAULTS', 'REFUSALS', 'RESTORES', 'Fault')
 
 Fault = Callable[[SoakEnvironment, float], Awaitable[None]]
 FAULTS: Final[dict[str, Fault]] = {}
 # The store refuses a router and answers the others, which excuses nothing. In
 # runs of their own, as other faults would be an excuse nearly always.
 REFUSALS: Final[dict[str, Fault]] = {}
+# The store comes back from older copies of itself. In runs of their own, so
+# that the seeds of the others stay what they are.
+RESTORES: Final[dict[str, Fault]] = {}
 _POLL_SECONDS = 0.1
 _MIN_REFUSED_SECONDS = 3.0
 _MAX_DEPARTURE_SECONDS = 0.6
@@ -132,6 +135,17 @@
     environment.store.fault = None
 
 
+@_fault('store-restore', RESTORES)
+async def _restore_store(environment: SoakEnvironment, seconds: float) -> None:
+    """Let the store come back from a copy; lost rows are written again."""
+    store = environment.store
+    copied, version = store.copy(), store.version
+    await _wait_active(environment, seconds)
+    store.restore(copied, version)
+    await _wait_active(environment, environment.rng.random())
+    environment.write_again()
+
+
 @_fault('server-path')
 async def _disturb_server_network(
     environment: SoakEnvironment, seconds: float
@@ -222,3 +236,11 @@
     environment: SoakEnvironment, seconds: float
 ) -> None:
     await _change_config(environment, seconds)
+
+
+RESTORES.update(
+    {
+        name: FAULTS[name]
+        for name in ('kill', 'stop', 'store-path', 'replace', 'configure')
+    }
+)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dotterelhatch.net.http import HttpError, HttpServer, fetch
-from soak.faults import REFUSALS
+from soak.faults import REFUSALS, RESTORES
 from soak.proxy import FaultProxy, NetworkFault
 from soak.run import SoakSettings, run_soak
 from soak.servers import expected_body, expected_stream
@@ -49,6 +49,17 @@
     assert result.outcomes['served'] > 20
 
 
+@pytest.mark.parametrize('seed', [5, 6])
+def test_guarantees_hold_while_the_store_comes_back_from_copies(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against state that only a store without losses allows."""
+    settings = SoakSettings(seed, tmp_path, faulty_seconds=6, faults=RESTORES)
+    result = run_soak(settings)
+    assert not result.problems, result
+    assert result.outcomes['served'] > 20
+
+
 def test_expected_responses_differ_between_requests() -> None:
     """Guards against a soak test that can't detect mixed-up responses.
 
