--- a/tests/test_fleet_fairness.py
+++ b/tests/test_fleet_fairness.py
@@ -76,6 +76,33 @@
     assert not starved(fleet), fleet.served
 
 
+@pytest.mark.parametrize('flood_per_second', [700.0, 2000.0])
+@pytest.mark.parametrize('speed', SPEEDS)
+@pytest.mark.parametrize('routers_count', [4, 33])
+def test_neighbours_on_new_connections_keep_their_share(
+    routers_count: int, speed: float, flood_per_second: float
+) -> None:
+    """Guards against connections that compete before they are identified.
+
+    The neighbours of a flood open a connection for each request.
+    """
+    fleet = OverloadedFleet(
+        [
+            Organisation('flood', flood_per_second, 0, 0.5),
+            Organisation('near', 60.0, 0, 1.0),
+            Organisation('small', 20.0, 0, 1.0),
+            Organisation('rival', 500.0),
+            Organisation('mid', 60.0),
+        ],
+        [speed] * routers_count,
+        ENGINES_COUNT,
+        seed=1,
+    )
+    fleet.run(WARM_UP_SECONDS)
+    fleet.run(WINDOW_SECONDS)
+    assert not {'near', 'small', 'mid'} & starved(fleet).keys(), fleet.served
+
+
 @settings(max_examples=6, deadline=None, derandomize=True)
 @given(
     routers_count=st.sampled_from((1, 4, 33, 370)),
