Let organisations take turns on new connections

Cause: the intake knew the organisation of a request only by the request before it on the same connection. All new connections took turns as one caller's, above 64 waiting requests they stayed in the accept queue, which drops whoever comes next, and what was rejected unread on them counted neither as demand nor as overload of anybody.

Ruled out by the model: turns by host alone (two floods of 1 and 16 hosts are served alike).

Change: the API key in the first bytes tells the organisation, before the request takes its turn. Above 64 waiting requests the organisation with the most loses its oldest, on new connections first. What is rejected unread counts as demand of its organisation. Open connections get every other turn of their organisation besides their own, because a rejection closes them.

The model of the fleet and the stub of the HTTP tests follow the new interface; no check of theirs changed.

--- a/src/dotterelhatch/core/intake.py
+++ b/src/dotterelhatch/core/intake.py
@@ -6,6 +6,7 @@
 delays the requests of the others by one request each.
 """
 
+import math
 from collections import OrderedDict
 from typing import Final, Generic, TypeVar
 
@@ -17,9 +18,12 @@
 # to be read in time for its objective. Its caller should soon try again.
 _MAX_WAIT_SECONDS: Final = 0.1
 
+# Source of the requests on open connections.
+_OPEN: Final = ''
+
 EntryT = TypeVar('EntryT')
 # Requests that take turns with those of other flows. None is the flow of the
-# connections that have not carried a request yet.
+# requests whose organisation is not known.
 Flow = OrganisationId | None
 
 
@@ -31,6 +35,9 @@
 
     def __init__(self) -> None:
         self.arrived: OrderedDict[EntryT, tuple[str, float]] = OrderedDict()
+        self._turns_count = 0
+        # Those on new connections.
+        self._connecting: OrderedDict[EntryT, None] = OrderedDict()
         self._sources: OrderedDict[str, OrderedDict[EntryT, None]] = (
             OrderedDict()
         )
@@ -38,20 +45,37 @@
     def add(self, entry: EntryT, source: str, now_seconds: float) -> None:
         self.arrived[entry] = (source, now_seconds)
         self._sources.setdefault(source, OrderedDict())[entry] = None
+        if source != _OPEN:
+            self._connecting[entry] = None
 
     def next(self) -> EntryT:
-        """Return the latest request of the source whose turn it is."""
+        """Return the latest request of the source whose turn it is.
+
+        Open connections get every other turn besides their own: it takes less
+        to read a request on them, and to reject one closes the connection.
+        """
+        self._turns_count += 1
         source = next(iter(self._sources))
-        self._sources.move_to_end(source)
+        if self._turns_count % 2 and _OPEN in self._sources:
+            source = _OPEN
+        else:
+            self._sources.move_to_end(source)
         return next(reversed(self._sources[source]))
 
-    def oldest(self) -> tuple[EntryT, float]:
-        """Return the oldest request and the time of its arrival."""
-        entry, (_, arrived_seconds) = next(iter(self.arrived.items()))
-        return entry, arrived_seconds
+    def next_rejected(self, before_seconds: float) -> EntryT | None:
+        """Return the oldest request that arrived before some time.
+
+        Those on new connections come first.
+        """
+        for entries in (self._connecting, self.arrived):
+            entry = next(iter(entries), None)
+            if entry is not None and self.arrived[entry][1] < before_seconds:
+                return entry
+        return None
 
     def remove(self, entry: EntryT) -> None:
         source, _ = self.arrived.pop(entry)
+        self._connecting.pop(entry, None)
         waiting = self._sources[source]
         waiting.pop(entry)
         if not waiting:
@@ -76,13 +100,12 @@
         return len(self._flow_by_entry)
 
     def add(
-        self, entry: EntryT, flow: Flow, now_seconds: float, source: str = ''
+        self, entry: EntryT, flow: Flow, now_seconds: float, source: str = _OPEN
     ) -> None:
         """Add a request that has arrived.
 
-        :param flow: the organisation of the previous request of the same
-            connection.
-        :param source: host of the caller, where the organisation is unknown.
+        :param flow: the organisation, None if it is not known.
+        :param source: host of the caller if the connection is new.
         """
         self._flow_by_entry[entry] = flow
         queue = self._flows.setdefault(flow, _FlowQueue())
@@ -108,13 +131,22 @@
 
         It is one of the flow that has the most requests waiting.
         """
+        return self._take_rejected(now_seconds - _MAX_WAIT_SECONDS)
+
+    def take_excess(self, max_count: int) -> EntryT | None:
+        """Remove and return a request if more than some are waiting.
+
+        It is one of the flow that has the most requests waiting.
+        """
+        return None if len(self) <= max_count else self._take_rejected(math.inf)
+
+    def _take_rejected(self, before_seconds: float) -> EntryT | None:
         if not self._flows:
             return None
         longest = max(self._flows.values(), key=_waiting_count)
-        entry, arrived_seconds = longest.oldest()
-        if now_seconds - arrived_seconds <= _MAX_WAIT_SECONDS:
-            return None
-        self._remove(entry)
+        entry = longest.next_rejected(before_seconds)
+        if entry is not None:
+            self._remove(entry)
         return entry
 
     def _remove(self, entry: EntryT) -> None:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -149,6 +149,7 @@
             _caller_limits(settings),
             render_error=wire.render_error,
             is_gated=True,
+            intake=self._handler.intake,
         )
         self._servers = (
             HttpServer(
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -10,6 +10,7 @@
 from dotterelhatch.gateway.attempts import AttemptRunner
 from dotterelhatch.gateway.crashes import CrashProber
 from dotterelhatch.gateway.decisions import Decision, log_decision
+from dotterelhatch.gateway.intake import GatewayIntake
 from dotterelhatch.gateway.request_records import (
     AttemptHistory,
     RoutedRequest,
@@ -56,6 +57,7 @@
         self.wire = wire
         self.targets = targets
         self.crash_prober = crash_prober
+        self.intake = GatewayIntake(state, wire)
         self._active: set[_ActiveRequest] = set()
 
     async def end_requests(self) -> None:
@@ -144,17 +146,18 @@
             raise DotterelhatchError(
                 ErrorKind.NO_TARGET, 'the route names an undefined service'
             )
-        # A request that is rejected unread probably resembles the one before.
-        self.exchange.assign_flow(
-            organisation,
-            partial(
-                self._state.count_rejected_demand,
-                service,
-                route.name,
+        self.exchange.assign_flow(organisation)
+        if organisation is not None:
+            self._handler.intake.on_read(
                 organisation,
-                usage_tokens(service, metadata),
-            ),
-        )
+                partial(
+                    self._state.count_rejected_demand,
+                    service,
+                    route.name,
+                    organisation,
+                    usage_tokens(service, metadata),
+                ),
+            )
         self.decision_facts = {'service': service.id}
         if not time_limit_seconds(route, metadata):
             raise self._timeout_error()
--- a/src/dotterelhatch/gateway/wireformat.py
+++ b/src/dotterelhatch/gateway/wireformat.py
@@ -55,6 +55,12 @@
 
     request_id_header: str
 
+    def find_api_key(self, received: bytes) -> str | None:
+        """Return the API key in the first bytes of a request.
+
+        :returns: None if they have none, or do not contain the whole head.
+        """
+
     def decode_request(self, head: RequestHead) -> RequestMetadata:
         """Decode the head of a request.
 
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -41,14 +41,18 @@
     render_problem,
 )
 from dotterelhatch.net.idle import IdleConnections
-from dotterelhatch.net.intake import GateEntry, IntakeGate
+from dotterelhatch.net.intake import GateEntry, IntakeGate, IntakePolicy
 from dotterelhatch.net.stream import (
     BACKLOG_COUNT,
     SocketStream,
     WaitTimeoutError,
     bind_listener,
 )
-from dotterelhatch.net.unread import UnreadOutcome, UnreadRejections
+from dotterelhatch.net.unread import (
+    UnreadOutcome,
+    UnreadRejections,
+    receive_arrived,
+)
 
 __all__ = (
     'MAX_HEADER_BYTES',
@@ -99,8 +103,9 @@
 
 # Connections that are accepted in one round of the event loop.
 _MAX_ACCEPTED_COUNT: Final = 4
-# While so many requests wait, further connections stay in the accept queue of
-# the operating system.
+# Above this number, requests of the organisation that has the most of them
+# waiting are rejected. The operating system would drop the connections of all
+# organisations alike.
 _MAX_WAITING_COUNT: Final = 64
 _DRAIN_CHECK_SECONDS: Final = 0.02
 # Several round trips to a caller that has connected just before a stop.
@@ -242,13 +247,9 @@
         """Close the connection after the response, announced in its head."""
         self._connection.must_close = True
 
-    def assign_flow(self, flow: Flow, on_unread: Callable[[], None]) -> None:
-        """Set with whose requests the next one of the connection takes turns.
-
-        :param on_unread: is called if the next one is rejected unread.
-        """
+    def assign_flow(self, flow: Flow) -> None:
+        """Set the organisation whose turns the next request waits for."""
         self._connection.flow = flow
-        self._connection.on_unread = on_unread
 
     def abort(self) -> None:
         """Shut the connection down without sending the end of the body."""
@@ -278,19 +279,21 @@
 
     :param stream: the socket; only the task that serves it uses it.
     :param limits: limits and timeouts.
-    :ivar flow: organisation of its previous request, None before the first.
-    :ivar on_unread: is called if the next request is rejected unread.
+    :param received: bytes that were read from the socket before.
+    :ivar flow: organisation of its previous request, or of its next one if
+        that is known.
     :ivar is_let_in: whether the gate has let in the next request already.
     :ivar has_had_request: whether a request was read from it.
     """
 
-    def __init__(self, stream: SocketStream, limits: HttpLimits) -> None:
+    def __init__(
+        self, stream: SocketStream, limits: HttpLimits, received: bytes = b''
+    ) -> None:
         """Start before the first request."""
         self.stream = stream
         self.client = stream.peer
         self.must_close = False
         self.flow: Flow = None
-        self.on_unread: Callable[[], None] | None = None
         self.is_let_in = False
         self.has_had_request = False
         self.request_complete = False
@@ -302,11 +305,14 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
+        if received:
+            self._feed(received)
 
     @property
-    def has_buffered(self) -> bool:
-        """Return whether bytes of the next request are buffered."""
-        return bool(self._http.trailing_data[0])
+    def buffered(self) -> bytes:
+        """Return the bytes of the next request that have been read."""
+        buffered: bytes = self._http.trailing_data[0]
+        return buffered
 
     @property
     def can_respond(self) -> bool:
@@ -316,6 +322,14 @@
             h11.SEND_RESPONSE,
         }
 
+    def buffer_arrived(self) -> bytes:
+        """Read the bytes that have arrived; return what is buffered."""
+        with contextlib.suppress(OSError):
+            content = self.stream.read_nowait()
+            if content is not None:
+                self._feed(content)
+        return self.buffered
+
     async def read_head(self) -> RequestHead | None:
         """Return the next request head, None if the connection was closed.
 
@@ -531,6 +545,7 @@
     :param clock: monotonic time in seconds, by which requests wait.
     :param is_gated: whether requests are let in as the processor allows. Small
         responses that operators or callers depend on are better sent late.
+    :param intake: tells what requests are before they are read.
     """
 
     def __init__(
@@ -542,8 +557,10 @@
         clock: Callable[[], float] = time.monotonic,
         *,
         is_gated: bool = False,
+        intake: IntakePolicy | None = None,
     ) -> None:
         """Store the parameters; nothing is opened yet."""
+        self._intake = intake
         self._address = address
         self._handler = handler
         self._limits = limits or HttpLimits()
@@ -681,8 +698,7 @@
                 return
             if not accepted_count % _MAX_ACCEPTED_COUNT:
                 await curio.sleep(0)
-            while self._gate.waiting_count >= _MAX_WAITING_COUNT:
-                await curio.sleep(0)
+            await self._gate.reject_excess(_MAX_WAITING_COUNT)
 
     async def _accept_rest(self, listener: socket.socket) -> None:
         """Accept what was queued when the server began to stop.
@@ -702,32 +718,62 @@
         if await self._gate.try_enter():
             await self._start_connection(accepted, is_let_in=True)
         else:
-            accepted.setblocking(False)
-            self._gate.add(_AcceptedConnection(self, accepted), None, host)
+            await self._add_to_gate(accepted, host)
         return True
 
-    async def _reject_unread(self, connected: socket.socket) -> UnreadOutcome:
-        outcome = await self._unread_rejections.reject(connected)
+    async def _add_to_gate(self, accepted: socket.socket, host: str) -> None:
+        """Let the first request of a connection wait for its turn."""
+        accepted.setblocking(False)
+        received = receive_arrived(accepted)
+        if received == b'':
+            accepted.close()
+            return
+        received = received or b''
+        entry = _AcceptedConnection(
+            self, accepted, received, self._identify(received)
+        )
+        self._gate.add(entry, entry.flow, host)
+
+    def _identify(self, received: bytes) -> Flow:
+        return self._intake.identify(received) if self._intake else None
+
+    async def _reject_unread(
+        self, connected: socket.socket, flow: Flow, received: bytes
+    ) -> UnreadOutcome:
+        outcome = await self._unread_rejections.reject(connected, received)
         if outcome is UnreadOutcome.REJECTED:
             self.counts.rejected_unread_count += 1
+            if self._intake is not None:
+                self._intake.on_rejected(flow)
         return outcome
 
-    async def _reject_accepted(self, accepted: socket.socket) -> None:
-        if await self._reject_unread(accepted) is UnreadOutcome.IDLE:
+    async def _reject_accepted(
+        self, accepted: socket.socket, flow: Flow, received: bytes
+    ) -> None:
+        outcome = await self._reject_unread(accepted, flow, received)
+        if outcome is UnreadOutcome.IDLE:
             # An idle connection takes no processor time.
             await self._start_connection(accepted)
 
     async def _start_connection(
-        self, accepted: socket.socket, *, is_let_in: bool = False
+        self,
+        accepted: socket.socket,
+        received: bytes = b'',
+        *,
+        is_let_in: bool = False,
     ) -> None:
         """Start the task of a connection.
 
+        :param received: what was read from it.
         :param is_let_in: whether the gate has let in its first request. One
             that arrives later has to pass the gate.
         """
         self.counts.accepted_count += 1
-        connection = _Connection(SocketStream(accepted), self._limits)
-        connection.is_let_in = is_let_in and connection.stream.is_readable()
+        stream = SocketStream(accepted)
+        connection = _Connection(stream, self._limits, received)
+        connection.is_let_in = is_let_in and (
+            bool(received) or stream.is_readable()
+        )
         serve = self._serve
         excess_count = (
             len(self._connections) + 1 - self._limits.max_connections_count
@@ -792,7 +838,7 @@
     async def _wait_request(self, connection: _Connection) -> bool:
         """Return whether a request can be read, once that is known."""
         try:
-            if connection.has_buffered:
+            if connection.buffered:
                 return True
             if self._stopping:
                 return await self._wait_last_request(connection)
@@ -850,27 +896,23 @@
         if connection.is_let_in:
             connection.is_let_in = False
             return True
-        if not (connection.has_buffered or connection.stream.is_readable()):
+        if not (connection.buffered or connection.stream.is_readable()):
             connection.must_close = True
             return False
+        if connection.flow is None and self._intake is not None:
+            connection.flow = self._identify(connection.buffer_arrived())
         request = await self._gate.enter(connection.flow)
         if request.is_late:
             await self._reject_late(connection)
         return not request.is_late
 
     async def _reject_late(self, connection: _Connection) -> None:
-        if connection.on_unread is not None:
-            connection.on_unread()
-        if connection.has_buffered:
-            # A part of the request has been read.
-            self.counts.rejected_unread_count += 1
-            connection.must_close = True
-            await self._send_early_error(
-                connection, _unread_error(_RETRY_AFTER_SECONDS[0])
-            )
-            return
+        received = connection.buffered
         connected = connection.detach()
-        if await self._reject_unread(connected) is UnreadOutcome.IDLE:
+        outcome = await self._reject_unread(
+            connected, connection.flow, received
+        )
+        if outcome is UnreadOutcome.IDLE:
             connected.close()
 
     async def _run_exchange(self, connection: _Connection) -> None:
@@ -942,21 +984,33 @@
 
     :param server: that has accepted it.
     :param accepted: the socket.
+    :param received: the first bytes of its request.
+    :param flow: the organisation, None if it is not known.
     """
 
-    def __init__(self, server: HttpServer, accepted: socket.socket) -> None:
+    def __init__(
+        self,
+        server: HttpServer,
+        accepted: socket.socket,
+        received: bytes,
+        flow: Flow,
+    ) -> None:
+        self.flow = flow
         self._server = server
         self._accepted = accepted
+        self._received = received
 
     async def let_in(self) -> None:
         """Start the task of the connection."""
         await self._server._start_connection(  # noqa: SLF001
-            self._accepted, is_let_in=True
+            self._accepted, self._received, is_let_in=True
         )
 
     async def reject(self) -> None:
-        """Answer the request without reading it."""
-        await self._server._reject_accepted(self._accepted)  # noqa: SLF001
+        """Answer the request without reading all of it."""
+        await self._server._reject_accepted(  # noqa: SLF001
+            self._accepted, self.flow, self._received
+        )
 
 
 def _unread_error(retry_after_seconds: float) -> DotterelhatchError:
--- a/src/dotterelhatch/net/intake.py
+++ b/src/dotterelhatch/net/intake.py
@@ -8,13 +8,13 @@
 import abc
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, Protocol
 
 import curio
 
 from dotterelhatch.core.intake import Flow, IntakeQueue
 
-__all__ = ('GateEntry', 'IntakeGate', 'WaitingRequest')
+__all__ = ('GateEntry', 'IntakeGate', 'IntakePolicy', 'WaitingRequest')
 
 _LOGGER: Final = logging.getLogger(__name__)
 # Late requests that are rejected in one round of the event loop. Together they
@@ -22,6 +22,19 @@
 _MAX_LATE_COUNT: Final = 4
 
 
+class IntakePolicy(Protocol):
+    """Tells what requests are that have not been read."""
+
+    def identify(self, received: bytes) -> Flow:
+        """Return the organisation of a request, None if it is not known.
+
+        :param received: the first bytes of the request.
+        """
+
+    def on_rejected(self, flow: Flow) -> None:
+        """Count a request that is rejected unread."""
+
+
 class GateEntry(abc.ABC):
     """Something that waits at the gate."""
 
@@ -121,10 +134,15 @@
     def add(self, entry: GateEntry, flow: Flow, source: str = '') -> None:
         """Add an entry, after :meth:`try_enter` has returned False.
 
-        :param source: host of the caller, where the organisation is unknown.
+        :param source: host of the caller if the connection is new.
         """
         self._queue.add(entry, flow, self._clock(), source)
 
+    async def reject_excess(self, max_count: int) -> None:
+        """Reject requests until no more than some are waiting."""
+        while entry := self._queue.take_excess(max_count):
+            await _run(entry.reject)
+
     async def _run_round(self) -> None:
         now_seconds = self._clock()
         for _ in range(_MAX_LATE_COUNT):
--- a/src/dotterelhatch/net/unread.py
+++ b/src/dotterelhatch/net/unread.py
@@ -19,7 +19,7 @@
 
 from dotterelhatch.net.httptypes import CLOSE_HEADER, Response, encode_headers
 
-__all__ = ('UnreadOutcome', 'UnreadRejections')
+__all__ = ('UnreadOutcome', 'UnreadRejections', 'receive_arrived')
 
 _MAX_READ_BYTES: Final = 65_536
 # Closing a socket with unread bytes resets the connection, and the caller may
@@ -95,9 +95,14 @@
         self._lingering: deque[_Lingering] = deque()
         self._sweep_task: Any = None
 
-    async def reject(self, connected: socket.socket) -> UnreadOutcome:
-        """Reject a connection on which a request has arrived."""
-        request = _receive(connected)
+    async def reject(
+        self, connected: socket.socket, received: bytes | None = None
+    ) -> UnreadOutcome:
+        """Reject a connection on which a request has arrived.
+
+        :param received: the first bytes of the request, if they were read.
+        """
+        request = received or receive_arrived(connected)
         if request is None:
             return UnreadOutcome.IDLE
         if not request:
@@ -139,7 +144,7 @@
             self._lingering.append(entry)
             return
         lingers = now_seconds - entry.rejected_seconds < _MAX_LINGER_SECONDS
-        if _receive(entry.connected) and lingers:
+        if receive_arrived(entry.connected) and lingers:
             due_seconds = now_seconds + _QUIET_SECONDS
             self._lingering.append(
                 _Lingering(entry.connected, entry.rejected_seconds, due_seconds)
@@ -148,7 +153,7 @@
         entry.connected.close()
 
 
-def _receive(connected: socket.socket) -> bytes | None:
+def receive_arrived(connected: socket.socket) -> bytes | None:
     """Return the bytes that have arrived, empty at the end, None if none."""
     try:
         return connected.recv(_MAX_READ_BYTES)
--- a/src/dotterelhatch/platform/wire.py
+++ b/src/dotterelhatch/platform/wire.py
@@ -11,6 +11,7 @@
 from dotterelhatch.gateway.wireformat import ForwardingMetadata, RequestMetadata
 from dotterelhatch.ids import RequestId
 from dotterelhatch.net.httptypes import (
+    HEAD_ENCODING,
     Headers,
     RequestHead,
     Response,
@@ -42,6 +43,10 @@
 _SERVER_LEAVING: Final = 'Server-Leaving'
 _AUTHORIZATION: Final = 'Authorization'
 _BEARER_PREFIX: Final = 'bearer '
+_BEARER_PATTERN: Final = re.compile(
+    rb'\r\nauthorization:[ \t]*bearer[ \t]+([^\s]+)', re.IGNORECASE
+)
+_HEAD_END: Final = b'\r\n\r\n'
 # Sums of such counts fit into the 64 bits of a number in a heartbeat.
 _COUNT_PATTERN: Final = re.compile(r'\s*[0-9]{1,9}\s*')
 _MAX_DEADLINE_MS: Final = 1e10
@@ -77,6 +82,17 @@
 
     request_id_header = _REQUEST_ID
 
+    def find_api_key(self, received: bytes) -> str | None:
+        """Return the API key in the first bytes of a request.
+
+        :returns: None if they have none, or do not contain the whole head.
+        """
+        end = received.find(_HEAD_END)
+        if end < 0:
+            return None
+        found = _BEARER_PATTERN.search(received, 0, end)
+        return found[1].decode(HEAD_ENCODING) if found else None
+
     def decode_request(self, head: RequestHead) -> RequestMetadata:
         """Decode the head of a request.
 
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -56,7 +56,6 @@
 ACCEPTED_COUNT = 4
 BACKLOG_COUNT = 128
 WAITING_COUNT = 64
-HOSTS_COUNT = 4
 # Callers that are not read for this long give up.
 PATIENCE_SECONDS = 1.0
 HEARTBEAT_SECONDS = 0.1
@@ -98,10 +97,9 @@
     is_new_connection: bool
 
     @property
-    def source(self) -> str:
-        """Return the host of the caller; each organisation has a few."""
-        number = hash(self.seconds) % HOSTS_COUNT
-        return f'{self.organisation.name}-{number}'
+    def flow(self) -> OrganisationId:
+        """Return the organisation, which the first bytes tell."""
+        return OrganisationId(self.organisation.name)
 
 
 class _Exchange:
@@ -143,8 +141,8 @@
     async def wait_disconnect(self) -> None:
         await curio.sleep(60)
 
-    def assign_flow(self, flow: Any, on_unread: Callable[[], None]) -> None:
-        self.on_unread = on_unread
+    def assign_flow(self, flow: Any) -> None:
+        """Take no note: the model knows the organisation of an arrival."""
 
     def close_after_response(self) -> None:
         self.is_closed = True
@@ -230,7 +228,6 @@
         self._fleet = fleet
         self._speed = speed
         self._queue = IntakeQueue[_Arrival]()
-        self._on_unread: dict[str, Callable[[], None]] = {}
         self._work: list[tuple[float, int, Callable[[], None]]] = []
         self._targets = _Targets(
             frozenset(fleet.broken_addresses) if index == 0 else frozenset()
@@ -301,19 +298,20 @@
     def _accept(self) -> None:
         self._receive()
         for _ in range(min(ACCEPTED_COUNT, len(self._backlog))):
-            if len(self._queue) >= WAITING_COUNT:
-                return
             arrival = self._backlog.popleft()
             self._spend(ACCEPTED_SECONDS)
-            self._queue.add(arrival, None, self.now_seconds, arrival.source)
+            self._queue.add(
+                arrival, arrival.flow, self.now_seconds, source='host'
+            )
+            while excess := self._queue.take_excess(WAITING_COUNT):
+                self._reject_unread(excess)
 
     def _receive(self) -> None:
         due_seconds = self.now_seconds
         while self.arrivals and self.arrivals[0][0] <= due_seconds:
             arrival = heapq.heappop(self.arrivals)[2]
             if not arrival.is_new_connection:
-                flow = OrganisationId(arrival.organisation.name)
-                self._queue.add(arrival, flow, due_seconds)
+                self._queue.add(arrival, arrival.flow, due_seconds)
             elif len(self._backlog) < BACKLOG_COUNT:
                 # Others are dropped by the operating system.
                 self._backlog.append(arrival)
@@ -329,15 +327,10 @@
         self._spend(UNREAD_SECONDS)
         if not arrival.is_new_connection:
             self.closed_count += 1
-            self._count_unread(arrival)
+        self._handler.intake.on_rejected(arrival.flow)
         self.state.arrivals.record(self.now_seconds)
         self._fleet.repeat(arrival, 0.5, self.now_seconds)
 
-    def _count_unread(self, arrival: _Arrival) -> None:
-        on_unread = self._on_unread.get(arrival.organisation.name)
-        if on_unread is not None:
-            on_unread()
-
     async def _read(self, arrival: _Arrival) -> None:
         if self.now_seconds - arrival.seconds > PATIENCE_SECONDS:
             return
@@ -346,7 +339,6 @@
         head = self._fleet.request_head(arrival.organisation)
         exchange = _Exchange(head, arrival.body)
         await self._handler(exchange)  # type: ignore[arg-type]
-        self._on_unread[arrival.organisation.name] = exchange.on_unread
         self.closed_count += exchange.is_closed
         if exchange.status == SERVED_STATUS:
             self._spend(BEGUN_SECONDS)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -23,7 +23,11 @@
     end_to_end_headers,
     fetch,
 )
-from dotterelhatch.net.stream import SocketStream, bind_listener
+from dotterelhatch.net.stream import (
+    SocketStream,
+    bind_listener,
+    split_address,
+)
 
 LIMITS = HttpLimits(max_header_bytes=2048)
 GET = b'GET %s HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -58,6 +62,18 @@
     return stream
 
 
+def open_together(
+    address: str, content: bytes, count: int
+) -> list[SocketStream]:
+    """Send a request on each of some connections before any is accepted."""
+    streams = []
+    for _ in range(count):
+        connected = socket.create_connection(split_address(address))
+        connected.sendall(content)
+        streams.append(SocketStream(connected))
+    return streams
+
+
 async def read_all(stream: SocketStream) -> bytes:
     """Read to the end of the stream and close it."""
     content = b''
@@ -258,7 +274,7 @@
             await monitor.join()
             disconnected_clients.append(exchange.client)
             raise DisconnectError('the caller disconnected')
-        while not exchange._connection.has_buffered:
+        while not exchange._connection.buffered:
             await curio.sleep(0)
         await monitor.cancel()
         await echo(exchange)
@@ -711,13 +727,20 @@
         """Let 60 ms pass, so that most of a flood waits for too long."""
         path = exchange.head.path
         self.paths.append(path)
-        exchange.assign_flow(OrganisationId(path), self._on_unread)
-        if path == '/flood':
+        exchange.assign_flow(OrganisationId(path))
+        if path.endswith('flood'):
             self._now_seconds += 0.06
         await echo(exchange)
 
-    def _on_unread(self) -> None:
-        self.unread_count += 1
+    def identify(self, received: bytes) -> OrganisationId | None:
+        """Know the organisation if it has a name of its own in the path."""
+        name = received.partition(b'/of/')[2].partition(b' ')[0]
+        return OrganisationId(name.decode()) if name else None
+
+    def on_rejected(self, flow: OrganisationId | None) -> None:
+        """Count a request that is rejected unread."""
+        if flow is not None:
+            self.unread_count += 1
 
 
 def run_flooded(
@@ -728,7 +751,12 @@
 
     async def main() -> None:
         server = HttpServer(
-            '127.0.0.1:0', handler, LIMITS, clock=handler.clock, is_gated=True
+            '127.0.0.1:0',
+            handler,
+            LIMITS,
+            clock=handler.clock,
+            is_gated=True,
+            intake=handler,
         )
         async with server:
             await test(server, f'127.0.0.1:{server.port}', handler)
@@ -790,6 +818,25 @@
     run_flooded(test)
 
 
+def test_a_flood_does_not_delay_a_new_connection_of_others() -> None:
+    """Guards against new connections that compete as those of one caller.
+
+    The small organisation connects first, so its request waits the longest.
+    """
+
+    async def test(
+        server: HttpServer, address: str, handler: BlockingHandler
+    ) -> None:
+        small = open_together(address, LAST_GET % b'/of/small', 1)
+        flood = open_together(address, LAST_GET % b'/of/flood', 40)
+        assert b'200 OK' in await read_all(small[0])
+        responses = [await read_all(stream) for stream in flood]
+        assert '/of/small' in handler.paths[:4]
+        assert len(rejected(responses)) == handler.unread_count > 0
+
+    run_flooded(test)
+
+
 def test_requests_rejected_unread_are_reported() -> None:
     """Guards against fair shares that omit what a busy router rejects."""
 
@@ -878,11 +925,13 @@
         failures = [OSError('broken')]
         start = server._start_connection
 
-        async def fail_once(accepted: socket.socket, **named: bool) -> None:
+        async def fail_once(
+            accepted: socket.socket, received: bytes = b'', **named: bool
+        ) -> None:
             if failures and server.waiting_count:
                 accepted.close()
                 raise failures.pop()
-            await start(accepted, **named)
+            await start(accepted, received, **named)
 
         server._start_connection = fail_once  # type: ignore[method-assign]
         streams = [
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -105,3 +105,24 @@
             assert taken is not None or action == 'late' or not waiting
             waiting.discard(taken)  # type: ignore[arg-type]
         assert len(queue) == len(waiting)
+
+
+def test_the_flow_with_the_most_requests_loses_its_oldest() -> None:
+    """Guards against a full queue that rejects whoever comes next."""
+    queue = IntakeQueue[str]()
+    queue.add('small', SMALL, 0.0)
+    for number in range(3):
+        queue.add(f'large {number}', LARGE, float(number))
+    assert queue.take_excess(3) == 'large 0'
+    assert queue.take_excess(3) is None
+    assert len(queue) == 3
+
+
+def test_new_connections_are_rejected_before_open_ones() -> None:
+    """Guards against callers that have to connect again for each request."""
+    queue = IntakeQueue[str]()
+    queue.add('open', LARGE, 0.0)
+    queue.add('new', LARGE, 1.0, source='host')
+    assert queue.take_late(1.05) == 'open'
+    queue.add('open', LARGE, 2.0)
+    assert queue.take_excess(1) == 'new'
