Pass requests of a flooded router on to its peers

Cause: the share is computed for the fleet, but one router gave it, and no more than its processor serves.

The peer has to be heard within three heartbeats, ready, below the mean, in touch with the sources if this router is, and not behind in the routing table. It is asked to close the connection; what came from a router is not passed on. No byte is sent twice: a request that could not be connected is served here.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -222,7 +222,7 @@
         live = self.live(now_seconds)
         if live:
             return live
-        return self._heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+        return self.heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
 
     def sharing(self, now_seconds: float) -> list[Heartbeat]:
         """Return the peers that share what the fleet may use.
@@ -232,7 +232,7 @@
         returned then, as they probably still use their share.
         """
         live = self.live(now_seconds)
-        recent = self._heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+        recent = self.heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
         if 2 * (len(live) + 1) > len(recent) + 1:
             return live
         return recent
@@ -247,7 +247,8 @@
         }
         return list(self._addresses)
 
-    def _heard_since(self, oldest_seconds: float) -> list[Heartbeat]:
+    def heard_since(self, oldest_seconds: float) -> list[Heartbeat]:
+        """Return the latest heartbeat of each peer that sent one since."""
         return [
             peer.heartbeat
             for peer in self._peers.values()
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -23,6 +23,7 @@
     NonBlockingHandler,
     log_decision,
 )
+from dotterelhatch.gateway.intake import GatewayIntake
 from dotterelhatch.gateway.heartbeats import (
     HeartbeatSocket,
     encode_fitting_heartbeat,
@@ -141,7 +142,11 @@
             self.state.metrics.malformed_inputs.labels('heartbeat').inc,
         )
         self._handler = GatewayHandler(
-            self.state, wire, self._targets, self._crash_prober
+            self.state,
+            wire,
+            self._targets,
+            self._crash_prober,
+            GatewayIntake(self.state, wire, self._has_current_table),
         )
         self._callers = HttpServer(
             settings.caller_address,
@@ -321,6 +326,14 @@
             state.on_prompt_sent(sent)
         await self._fetch_newer_snapshots(heartbeat, now_seconds)
 
+    def _has_current_table(self, peer: Heartbeat) -> bool:
+        """Return whether a peer follows the author as far as this router."""
+        points = self.snapshot_store.complete(peer.documents)
+        return all(
+            name in points and points[name].revision >= point.revision
+            for name, point in self.snapshot_store.points().items()
+        )
+
     async def _fetch_newer_snapshots(
         self, heartbeat: Heartbeat, now_seconds: float
     ) -> None:
--- a/src/dotterelhatch/gateway/intake.py
+++ b/src/dotterelhatch/gateway/intake.py
@@ -1,14 +1,36 @@
 """What the gateway knows of a request before it is read."""
 
+import math
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
 
+from dotterelhatch.core.arrivals import flooded_routers
 from dotterelhatch.core.intake import Flow
+from dotterelhatch.core.peers import Heartbeat, heartbeat_interval_seconds
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import WireFormat
 from dotterelhatch.ids import OrganisationId
 
 __all__ = ('GatewayIntake',)
 
+_CHOICE_LIFETIME_SECONDS: Final = 0.1
+# A peer that is silent for this many intervals may be frozen or cut off.
+_MAX_SILENT_INTERVALS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerChoice:
+    """Peers that can serve requests of this router, for a short time.
+
+    :param hosts: of all live peers.
+    :param addresses: of the peers that have room.
+    """
+
+    seconds: float = -math.inf
+    hosts: frozenset[str] = frozenset()
+    addresses: tuple[str, ...] = ()
+
 
 class GatewayIntake:
     """Identifies the organisation of a request by its first bytes.
@@ -17,14 +39,26 @@
     Until it is known, the requests of all organisations compete as those of a
     single one, which a flood then has nearly to itself.
 
+    The share of an organisation is that of the fleet, so a router that gets far
+    more requests than its peers has them serve what it can't.
+
     :param state: of this gateway.
     :param wire: finds the API key.
+    :param is_current: returns whether a peer has the routing table of this
+        router or a newer one.
     """
 
-    def __init__(self, state: GatewayState, wire: WireFormat) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        wire: WireFormat,
+        is_current: Callable[[Heartbeat], bool],
+    ) -> None:
         """Start without requests."""
         self._state = state
         self._wire = wire
+        self._is_current = is_current
+        self._peer_choice = _PeerChoice()
         self._demands: dict[OrganisationId, Callable[[], None]] = {}
 
     def identify(self, received: bytes) -> Flow:
@@ -52,3 +86,75 @@
         demand = None if flow is None else self._demands.get(flow)
         if demand is not None:
             demand()
+
+    def choose_peer(self, flow: Flow, source: str) -> str | None:
+        """Return the caller address of a peer that has room for a request.
+
+        Requests above the share of their organisation stay here: a peer would
+        reject most of them.
+
+        :param source: host of the caller. What a peer has passed on is served
+            here.
+        """
+        now_seconds = self._state.clock()
+        if flow is None or self._has_its_share(flow, now_seconds):
+            return None
+        if now_seconds - self._peer_choice.seconds > _CHOICE_LIFETIME_SECONDS:
+            self._peer_choice = self._choose_peers(now_seconds)
+        choice = self._peer_choice
+        if not choice.addresses or source in choice.hosts:
+            return None
+        self._state.arrivals.record(now_seconds)
+        return self._state.rng.choice(choice.addresses)
+
+    def _has_its_share(
+        self, organisation: OrganisationId, now_seconds: float
+    ) -> bool:
+        shares = self._state.fair_shares
+        return shares.fair_share_ratio(organisation, now_seconds) >= 1
+
+    def _choose_peers(self, now_seconds: float) -> _PeerChoice:
+        state = self._state
+        live = state.peers.live(now_seconds)
+        rates = state.request_rates(now_seconds)
+        suitable: list[Heartbeat] = []
+        if state.settings.router_id in flooded_routers(rates):
+            suitable = self._suitable_peers(
+                sum(rates.values()) / len(rates), now_seconds
+            )
+        near = [
+            peer
+            for peer in suitable
+            if peer.failure_domain == state.settings.failure_domain
+        ]
+        return _PeerChoice(
+            now_seconds,
+            frozenset(_host(peer) for peer in live),
+            tuple(peer.caller_address for peer in near or suitable),
+        )
+
+    def _suitable_peers(
+        self, max_per_second: float, now_seconds: float
+    ) -> list[Heartbeat]:
+        """Return the peers that know what this router knows and have room.
+
+        :param max_per_second: request rate of a peer that has room.
+        """
+        peers = self._state.peers
+        interval_seconds = heartbeat_interval_seconds(
+            len(peers.live(now_seconds))
+        )
+        oldest_seconds = now_seconds - _MAX_SILENT_INTERVALS * interval_seconds
+        is_source_seen = self._state.has_source_responded(now_seconds)
+        return [
+            peer
+            for peer in peers.heard_since(oldest_seconds)
+            if peer.is_ready
+            and peer.is_source_seen >= is_source_seen
+            and peer.requests_per_second <= max_per_second
+            and self._is_current(peer)
+        ]
+
+
+def _host(peer: Heartbeat) -> str:
+    return peer.caller_address.partition(':')[0]
--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -43,6 +43,7 @@
     :param wire: translates HTTP heads.
     :param targets: HTTP client for the targets.
     :param crash_prober: is notified of broken connections to targets.
+    :param intake: is told of the requests that are read.
     """
 
     def __init__(
@@ -51,13 +52,14 @@
         wire: WireFormat,
         targets: TargetClient,
         crash_prober: CrashProber,
+        intake: GatewayIntake,
     ) -> None:
         """Store the components."""
         self.state = state
         self.wire = wire
         self.targets = targets
         self.crash_prober = crash_prober
-        self.intake = GatewayIntake(state, wire)
+        self.intake = intake
         self._active: set[_ActiveRequest] = set()
 
     async def end_requests(self) -> None:
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -42,6 +42,7 @@
 )
 from dotterelhatch.net.idle import IdleConnections
 from dotterelhatch.net.intake import GateEntry, IntakeGate, IntakePolicy
+from dotterelhatch.net.passing import HEAD_END, NotPassedError, PassedRequest
 from dotterelhatch.net.stream import (
     BACKLOG_COUNT,
     SocketStream,
@@ -107,6 +108,8 @@
 # waiting are rejected. The operating system would drop the connections of all
 # organisations alike.
 _MAX_WAITING_COUNT: Final = 64
+# While so many requests wait, the processor is saturated.
+_SATURATED_WAITING_COUNT: Final = 16
 _DRAIN_CHECK_SECONDS: Final = 0.02
 # Several round trips to a caller that has connected just before a stop.
 _FIRST_REQUEST_SECONDS: Final = 0.3
@@ -143,6 +146,7 @@
     :param closed_idle_count: closed while idle to make room for others.
     :param rejected_unread_count: rejected because a request on them waited for
         too long; it was not read.
+    :param passed_on_count: passed on to other servers.
     """
 
     accepted_count: int = 0
@@ -150,6 +154,7 @@
     rejected_count: int = 0
     closed_idle_count: int = 0
     rejected_unread_count: int = 0
+    passed_on_count: int = 0
 
 
 class _IdleClosedError(curio.TaskCancelled):  # type: ignore[misc]
@@ -630,6 +635,12 @@
         """Return the number of requests that have arrived and are not read."""
         return self._gate.waiting_count
 
+    @property
+    def _is_saturated(self) -> bool:
+        """Return whether requests wait because of the processor."""
+        is_waiting = self._gate.waiting_count >= _SATURATED_WAITING_COUNT
+        return is_waiting and not self._stopping
+
     @property
     def connections_count(self) -> int:
         """Return the number of open connections."""
@@ -729,10 +740,9 @@
             accepted.close()
             return
         received = received or b''
-        entry = _AcceptedConnection(
-            self, accepted, received, self._identify(received)
-        )
-        self._gate.add(entry, entry.flow, host)
+        flow = self._identify(received)
+        entry = _AcceptedConnection(self, accepted, received, flow)
+        self._gate.add(entry, flow, host)
 
     def _identify(self, received: bytes) -> Flow:
         return self._intake.identify(received) if self._intake else None
@@ -747,6 +757,29 @@
                 self._intake.on_rejected(flow)
         return outcome
 
+    async def _pass_on(self, connection: _Connection) -> bool:
+        """Pass the next request of a connection on to another server.
+
+        :returns: False if it is to be served here.
+        """
+        if self._intake is None or not self._is_saturated:
+            return False
+        received = connection.buffer_arrived()
+        host = connection.client.partition(':')[0]
+        address = self._intake.choose_peer(connection.flow, host)
+        if address is None or HEAD_END not in received:
+            return False
+        timeout_seconds = self._limits.write_timeout_seconds
+        passed = PassedRequest(connection.stream, address, timeout_seconds)
+        try:
+            await passed.run(received)
+        except NotPassedError as error:
+            _LOGGER.debug('a request was not passed on: %s', error)
+            return False
+        self.counts.passed_on_count += 1
+        connection.abort()
+        return True
+
     async def _reject_accepted(
         self, accepted: socket.socket, flow: Flow, received: bytes
     ) -> None:
@@ -759,18 +792,21 @@
         self,
         accepted: socket.socket,
         received: bytes = b'',
+        flow: Flow = None,
         *,
         is_let_in: bool = False,
     ) -> None:
         """Start the task of a connection.
 
         :param received: what was read from it.
+        :param flow: organisation of its first request, None if not known.
         :param is_let_in: whether the gate has let in its first request. One
             that arrives later has to pass the gate.
         """
         self.counts.accepted_count += 1
         stream = SocketStream(accepted)
         connection = _Connection(stream, self._limits, received)
+        connection.flow = flow
         connection.is_let_in = is_let_in and (
             bool(received) or stream.is_readable()
         )
@@ -918,6 +954,8 @@
     async def _run_exchange(self, connection: _Connection) -> None:
         if not await self._enter_gate(connection):
             return
+        if await self._pass_on(connection):
+            return
         try:
             head = await connection.read_head()
         except DotterelhatchError as error:
@@ -927,6 +965,11 @@
         if head is None:
             connection.must_close = True
             return
+        await self._respond(head, connection)
+
+    async def _respond(
+        self, head: RequestHead, connection: _Connection
+    ) -> None:
         if self._stopping or self._announces_close or head.method == 'CONNECT':
             connection.must_close = True
         exchange = ServerExchange(head, connection)
@@ -995,21 +1038,21 @@
         received: bytes,
         flow: Flow,
     ) -> None:
-        self.flow = flow
         self._server = server
         self._accepted = accepted
         self._received = received
+        self._flow = flow
 
     async def let_in(self) -> None:
         """Start the task of the connection."""
         await self._server._start_connection(  # noqa: SLF001
-            self._accepted, self._received, is_let_in=True
+            self._accepted, self._received, self._flow, is_let_in=True
         )
 
     async def reject(self) -> None:
         """Answer the request without reading all of it."""
         await self._server._reject_accepted(  # noqa: SLF001
-            self._accepted, self.flow, self._received
+            self._accepted, self._flow, self._received
         )
 
 
--- a/src/dotterelhatch/net/intake.py
+++ b/src/dotterelhatch/net/intake.py
@@ -34,6 +34,14 @@
     def on_rejected(self, flow: Flow) -> None:
         """Count a request that is rejected unread."""
 
+    def choose_peer(self, flow: Flow, source: str) -> str | None:
+        """Return the address of a server that has room for a request.
+
+        :param flow: the organisation, None if it is not known.
+        :param source: host of the caller.
+        :returns: None if the request is to be served here.
+        """
+
 
 class GateEntry(abc.ABC):
     """Something that waits at the gate."""
--- a/src/dotterelhatch/net/stream.py
+++ b/src/dotterelhatch/net/stream.py
@@ -7,7 +7,7 @@
 import re
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, Self
 
 import curio
@@ -226,6 +226,11 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER
             )
 
+    def set_options(self, options: Iterable[tuple[int, int, int]]) -> None:
+        """Set socket options, each with its level and value."""
+        for level, option, setting in options:
+            self._socket.setsockopt(level, option, setting)
+
     def detach(self) -> socket.socket:
         """Return the socket, which the stream does not close any more.
 
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -5,7 +5,7 @@
 import itertools
 import os
 import socket
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -209,8 +209,13 @@
     *servers: tuple[ServiceId, ServerStandIn],
     routers_count: int,
     table: RoutingTable | None = None,
+    caller_hosts: Sequence[str] = (),
 ) -> AsyncIterator[list[GatewayFixture]]:
-    """Open gateways that know each other, with servers as their targets."""
+    """Open gateways that know each other, with servers as their targets.
+
+    :param caller_hosts: where the routers listen for callers, all on the same
+        host by default.
+    """
     async with contextlib.AsyncExitStack() as stack:
         entries = []
         for service, stand_in in servers:
@@ -224,8 +229,11 @@
                 fixture.gateway.settings.heartbeat_address
                 for fixture in fixtures
             )
+            host = caller_hosts[number] if caller_hosts else '127.0.0.1'
             settings = gateway_settings(
-                f'router-{number + 1}', seed_addresses=seeds
+                f'router-{number + 1}',
+                seed_addresses=seeds,
+                caller_address=f'{host}:{free_port()}',
             )
             gateway = Gateway(settings, PlatformWireFormat())
             await stack.enter_async_context(gateway)
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import curio
@@ -22,6 +22,7 @@
 from dotterelhatch.core.peers import WindowTotals
 from dotterelhatch.core.registry import TargetEntry, TargetState
 from dotterelhatch.gateway.crashes import CrashProber
+from dotterelhatch.gateway.intake import GatewayIntake
 from dotterelhatch.gateway.requests import GatewayHandler
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.ids import OrganisationId, RouterId, TargetId
@@ -49,6 +50,8 @@
 CONNECTION_SECONDS = 0.0002
 ACCEPTED_SECONDS = 0.00005
 UNREAD_SECONDS = 0.00008
+PASSED_SECONDS = 0.0005
+PASSED_EVENT_SECONDS = 0.0001
 EVENTS_COUNT = 10
 EVENT_INTERVAL_SECONDS = 0.03
 # Limits of the server: see net.intake.
@@ -56,6 +59,7 @@
 ACCEPTED_COUNT = 4
 BACKLOG_COUNT = 128
 WAITING_COUNT = 64
+SATURATED_WAITING_COUNT = 16
 # Callers that are not read for this long give up.
 PATIENCE_SECONDS = 1.0
 HEARTBEAT_SECONDS = 0.1
@@ -95,6 +99,7 @@
     body: bytes
     is_repeat: bool
     is_new_connection: bool
+    is_passed: bool = False
 
     @property
     def flow(self) -> OrganisationId:
@@ -222,6 +227,7 @@
     ) -> None:
         self.now_seconds = fleet.now_seconds
         self.arrivals: list[tuple[float, int, _Arrival]] = []
+        self.index = index
         self.closed_count = 0
         self.served_count = 0
         self._backlog: deque[_Arrival] = deque()
@@ -253,6 +259,7 @@
             PlatformWireFormat(),
             self._targets,  # type: ignore[arg-type]
             CrashProber(self.state, self._report_news),
+            GatewayIntake(self.state, PlatformWireFormat(), lambda _: True),
         )
 
     async def _report_news(self) -> None:
@@ -334,6 +341,9 @@
     async def _read(self, arrival: _Arrival) -> None:
         if self.now_seconds - arrival.seconds > PATIENCE_SECONDS:
             return
+        if self._passes_on(arrival):
+            self._pass_on(arrival)
+            return
         if arrival.is_new_connection:
             self._spend(CONNECTION_SECONDS)
         head = self._fleet.request_head(arrival.organisation)
@@ -351,6 +361,25 @@
                 arrival, exchange.retry_after_seconds, self.now_seconds
             )
 
+    def _passes_on(self, arrival: _Arrival) -> bool:
+        return (
+            not arrival.is_passed
+            and len(self._queue) >= SATURATED_WAITING_COUNT
+            and self.used_share(arrival.flow) < 1
+            and self.index in self._fleet.flooded
+            and len(self._fleet.flooded) < len(self._fleet.routers)
+        )
+
+    def _pass_on(self, arrival: _Arrival) -> None:
+        self._spend(PASSED_SECONDS)
+        self.state.arrivals.record(self.now_seconds)
+        self._fleet.pass_on(arrival, self.now_seconds)
+        for number in range(EVENTS_COUNT):
+            self._at(
+                self.now_seconds + (number + 1) * EVENT_INTERVAL_SECONDS,
+                lambda: self._spend(PASSED_EVENT_SECONDS),
+            )
+
     def _start_response(self) -> None:
         target = self._fleet.targets[self._targets.address]
         is_model = target.entry.service == MODEL
@@ -416,6 +445,7 @@
             for index, speed in enumerate(speeds)
         ]
         self._advertised = list(range(len(speeds)))
+        self.flooded: frozenset[int] = frozenset()
         self._listed_seconds = self.now_seconds
 
     def run(self, seconds: float, served_elsewhere: float = 0) -> None:
@@ -461,6 +491,19 @@
             )
         )
 
+    def pass_on(self, arrival: _Arrival, now_seconds: float) -> None:
+        """Send a request to a router that is not flooded."""
+        peers = [
+            index
+            for index in range(len(self.routers))
+            if index not in self.flooded
+        ]
+        passed = replace(arrival, seconds=now_seconds, is_passed=True)
+        heapq.heappush(
+            self.routers[self._rng.choice(peers)].arrivals,
+            (passed.seconds, next(self.order), passed),
+        )
+
     def request_head(self, organisation: Organisation) -> RequestHead:
         """Return the head of a request."""
         headers = [
@@ -502,9 +545,6 @@
         )
 
     def _update_addresses(self) -> None:
-        if self.now_seconds - self._listed_seconds < ADDRESS_LIFETIME_SECONDS:
-            return
-        self._listed_seconds = self.now_seconds
         rates = {
             router.state.settings.router_id: router.state.arrivals.per_second(
                 self.now_seconds
@@ -512,10 +552,18 @@
             for router in self.routers
         }
         flooded = flooded_routers(rates)
-        self._advertised = [
+        self.flooded = frozenset(
             index
             for index, router in enumerate(self.routers)
-            if router.state.settings.router_id not in flooded
+            if router.state.settings.router_id in flooded
+        )
+        if self.now_seconds - self._listed_seconds < ADDRESS_LIFETIME_SECONDS:
+            return
+        self._listed_seconds = self.now_seconds
+        self._advertised = [
+            index
+            for index in range(len(self.routers))
+            if index not in self.flooded
         ]
 
     def _exchange_heartbeats(self) -> None:
--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -1,16 +1,31 @@
 """What a gateway knows of requests that it has not read."""
 
+import random
+from collections.abc import Mapping
+from typing import Any
+
 import pytest
 
-from dotterelhatch.ids import OrganisationId
+from dotterelhatch.core.fairshare import Usage
+from dotterelhatch.core.peers import Heartbeat, WindowTotals
+from dotterelhatch.gateway.intake import GatewayIntake
+from dotterelhatch.gateway.state import GatewayState
+from dotterelhatch.ids import (
+    FailureDomain,
+    Incarnation,
+    OrganisationId,
+    RouterId,
+)
 from dotterelhatch.platform.wire import PlatformWireFormat
+from standins.server import ServerStandIn
 from tests.gateway_helpers import (
+    DOMAIN,
     KEY,
     MODEL,
+    gateway_settings,
     open_gateway,
     run_async,
 )
-from standins.server import ServerStandIn
 
 ORGANISATION = OrganisationId('usta-kazim')
 HEAD = b'POST /draft/1 HTTP/1.1\r\nHost: h\r\n'
@@ -57,3 +72,118 @@
         assert usage.asked_tokens == 4 * asked_tokens > 0
         window = state.admission_window(MODEL)
         assert window.rejection_rate(state.clock()) == 0.75
+
+
+CALLER = '10.9.9.9'
+NOW_SECONDS = 100.0
+OUTDATED = RouterId('outdated')
+SILENT = RouterId('silent')
+
+
+def heartbeat(name: str, **changes: Any) -> Heartbeat:
+    """Return the heartbeat of a peer with room, which is far away."""
+    fields: dict[str, Any] = {
+        'router': RouterId(name),
+        'incarnation': Incarnation(1),
+        'sequence': 1,
+        'failure_domain': FailureDomain('far'),
+        'caller_address': f'{name}:8783',
+        'control_address': f'{name}:8785',
+        'heartbeat_address': f'{name}:8786',
+        'is_ready': True,
+        'is_accepting': True,
+        'is_source_seen': True,
+        'snapshot_versions': {},
+        'loads': {},
+        'requests_per_second': 10.0,
+    }
+    return Heartbeat(**(fields | changes))
+
+
+FAR_PEERS = (heartbeat('far-1'), heartbeat('far-2'))
+
+
+def flooded_intake(
+    *peers: Heartbeat, usages: Mapping[OrganisationId, Usage] | None = None
+) -> GatewayIntake:
+    """Return the intake of a router that gets most of the requests."""
+    state = GatewayState(
+        gateway_settings('router-1'), random.Random(1), lambda: NOW_SECONDS
+    )
+    state.arrivals.record(NOW_SECONDS, 500)
+    state.source_response_seconds = {'op': NOW_SECONDS}
+    state.on_totals(RouterId('far-1'), WindowTotals(usages=usages or {}))
+    for peer in peers:
+        age_seconds = 1.0 if peer.router == SILENT else 0.1
+        state.peers.on_heartbeat(peer, NOW_SECONDS - age_seconds)
+    return GatewayIntake(
+        state, PlatformWireFormat(), lambda peer: peer.router != OUTDATED
+    )
+
+
+def chosen(intake: GatewayIntake, source: str = CALLER) -> set[str | None]:
+    """Return what is chosen in many attempts."""
+    return {intake.choose_peer(ORGANISATION, source) for _ in range(50)}
+
+
+def test_requests_are_passed_to_peers_that_have_room() -> None:
+    """Guards against callers that a peer rejects or misroutes."""
+    intake = flooded_intake(
+        heartbeat('far-1'),
+        heartbeat('far-2'),
+        heartbeat('leaving', is_ready=False),
+        heartbeat('isolated', is_source_seen=False),
+        heartbeat('busy', requests_per_second=300.0),
+        heartbeat(OUTDATED),
+        heartbeat(SILENT),
+    )
+    assert chosen(intake) == {'far-1:8783', 'far-2:8783'}
+
+
+def test_peers_serve_while_no_router_sees_the_source() -> None:
+    """Guards against a flooded router on its own during an outage."""
+    peers = [heartbeat(f'far-{n}', is_source_seen=False) for n in (1, 2)]
+    intake = flooded_intake(*peers)
+    intake._state.source_response_seconds.clear()
+    assert chosen(intake) == {'far-1:8783', 'far-2:8783'}
+
+
+def test_requests_are_passed_to_peers_in_the_same_failure_domain() -> None:
+    """Guards against traffic between failure domains without a need."""
+    near = heartbeat('near', failure_domain=DOMAIN)
+    assert chosen(flooded_intake(heartbeat('far'), near)) == {'near:8783'}
+
+
+def test_a_request_is_passed_on_only_once() -> None:
+    """Guards against requests that go round between busy routers."""
+    intake = flooded_intake(*FAR_PEERS)
+    assert chosen(intake) == {'far-1:8783', 'far-2:8783'}
+    assert chosen(intake, source='far-2') == {None}
+
+
+def test_requests_of_unknown_organisations_stay() -> None:
+    """Guards against requests without a key that use up the peers."""
+    assert flooded_intake(*FAR_PEERS).choose_peer(None, CALLER) is None
+
+
+def test_a_router_that_is_no_busier_than_others_passes_nothing_on() -> None:
+    """Guards against routers that all pass on while all are overloaded."""
+    busy = [heartbeat(f'far-{n}', requests_per_second=600.0) for n in (1, 2)]
+    assert chosen(flooded_intake(*busy)) == {None}
+
+
+@pytest.mark.parametrize(
+    ('used_tokens', 'is_passed'), [(10, True), (90, False)]
+)
+def test_requests_above_the_share_stay(
+    used_tokens: int, is_passed: bool
+) -> None:
+    """Guards against work at the peers that ends in a rejection."""
+    intake = flooded_intake(
+        *FAR_PEERS,
+        usages={
+            ORGANISATION: Usage(1000, used_tokens),
+            OrganisationId('other'): Usage(1000, 100 - used_tokens),
+        },
+    )
+    assert (chosen(intake) != {None}) is is_passed
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -737,6 +737,9 @@
         name = received.partition(b'/of/')[2].partition(b' ')[0]
         return OrganisationId(name.decode()) if name else None
 
+    def choose_peer(self, flow: OrganisationId | None, source: str) -> None:
+        """Pass nothing on."""
+
     def on_rejected(self, flow: OrganisationId | None) -> None:
         """Count a request that is rejected unread."""
         if flow is not None:
@@ -926,12 +929,12 @@
         start = server._start_connection
 
         async def fail_once(
-            accepted: socket.socket, received: bytes = b'', **named: bool
+            accepted: socket.socket, *arguments: Any, **named: bool
         ) -> None:
             if failures and server.waiting_count:
                 accepted.close()
                 raise failures.pop()
-            await start(accepted, received, **named)
+            await start(accepted, *arguments, **named)
 
         server._start_connection = fail_once  # type: ignore[method-assign]
         streams = [
