Pass on also for the only organisation that wants more

Cause: the share of an organisation that alone is not satisfied is what is left of the capacity, and the capacity is the sum of what all got, so its usage is just its share. Requests were passed on only below it.

Change: up to 1.2 of the share. Above, any router rejects most of its requests.

--- a/src/dotterelhatch/gateway/intake.py
+++ b/src/dotterelhatch/gateway/intake.py
@@ -15,6 +15,9 @@
 __all__ = ('GatewayIntake',)
 
 _CHOICE_LIFETIME_SECONDS: Final = 0.1
+# Of its fair share, an organisation above this has its requests rejected by all
+# routers. The only one that wants more than it gets has just its share.
+_MAX_PASSED_SHARE: Final = 1.2
 # A peer that is silent for this many intervals may be frozen or cut off.
 _MAX_SILENT_INTERVALS: Final = 3
 
@@ -90,14 +93,14 @@
     def choose_peer(self, flow: Flow, source: str) -> str | None:
         """Return the caller address of a peer that has room for a request.
 
-        Requests above the share of their organisation stay here: a peer would
-        reject most of them.
+        Requests of an organisation well above its share stay here: a peer
+        would reject most of them.
 
         :param source: host of the caller. What a peer has passed on is served
             here.
         """
         now_seconds = self._state.clock()
-        if flow is None or self._has_its_share(flow, now_seconds):
+        if flow is None or self._exceeds_share(flow, now_seconds):
             return None
         if now_seconds - self._peer_choice.seconds > _CHOICE_LIFETIME_SECONDS:
             self._peer_choice = self._choose_peers(now_seconds)
@@ -107,11 +110,12 @@
         self._state.arrivals.record(now_seconds)
         return self._state.rng.choice(choice.addresses)
 
-    def _has_its_share(
+    def _exceeds_share(
         self, organisation: OrganisationId, now_seconds: float
     ) -> bool:
         shares = self._state.fair_shares
-        return shares.fair_share_ratio(organisation, now_seconds) >= 1
+        ratio = shares.fair_share_ratio(organisation, now_seconds)
+        return ratio > _MAX_PASSED_SHARE
 
     def _choose_peers(self, now_seconds: float) -> _PeerChoice:
         state = self._state
