--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from soak.faults import FAULTS, REFUSALS, RESTORES, Fault
+from soak.faults import FAULTS, FLOODS, REFUSALS, RESTORES, Fault
 from soak.run import SoakSettings, run_soak
 
 __all__ = ('main',)
@@ -36,6 +36,9 @@
     restores: Annotated[
         bool, typer.Option(help='The store comes back from older copies.')
     ] = False,
+    floods: Annotated[
+        bool, typer.Option(help='Many callers keep to one router.')
+    ] = False,
     folder: Annotated[
         Path | None, typer.Option(help='Directory for settings and logs.')
     ] = None,
@@ -52,7 +55,7 @@
                 run_seed,
                 log_directory / str(run_seed),
                 seconds,
-                _faults(refusals=refusals, restores=restores),
+                _faults(refusals=refusals, restores=restores, floods=floods),
             )
         )
         failed_count += bool(result.problems)
@@ -67,10 +70,14 @@
     raise typer.Exit(min(1, failed_count))
 
 
-def _faults(*, refusals: bool, restores: bool) -> Mapping[str, Fault]:
+def _faults(
+    *, refusals: bool, restores: bool, floods: bool
+) -> Mapping[str, Fault]:
+    if refusals:
+        return REFUSALS
     if restores:
         return RESTORES
-    return REFUSALS if refusals else FAULTS
+    return FLOODS if floods else FAULTS
 
 
 if __name__ == '__main__':
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -72,6 +72,7 @@
     :param rng: seeded source of all random choices of the run.
     :param folder: for the settings and logs of the routers.
     :ivar fault_times_seconds: times at which a fault was active.
+    :ivar flood_callers: callers that were added by faults.
     :ivar problems: broken guarantees that were found so far.
     """
 
@@ -86,6 +87,7 @@
         self.store_proxies: list[FaultProxy] = []
         self.config_version = 1
         self.fault_times_seconds: list[float] = []
+        self.flood_callers: list[Any] = []
         self.problems: list[str] = []
         self._resources = AsyncExitStack()
         self._last_server_number = 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults that the soak test injects, registered by name."""
 
+import random
 import signal
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -8,9 +9,11 @@
 
 from soak.environment import SoakEnvironment
 from soak.proxy import FaultProxy, NetworkFault
+from soak.routers import RouterProcess
+from soak.traffic import Caller
 from standins.row_store import StoreFault
 
-__all__ = ('FAULTS', 'REFUSALS', 'RESTORES', 'Fault')
+__all__ = ('FAULTS', 'FLOODS', 'REFUSALS', 'RESTORES', 'Fault')
 
 Fault = Callable[[SoakEnvironment, float], Awaitable[None]]
 FAULTS: Final[dict[str, Fault]] = {}
@@ -20,6 +23,11 @@
 # The store comes back from older copies of itself. In runs of their own, so
 # that the seeds of the others stay what they are.
 RESTORES: Final[dict[str, Fault]] = {}
+# Many callers keep to one router, which passes requests on to the others.
+FLOODS: Final[dict[str, Fault]] = {}
+_FLOOD_CALLERS_COUNT: Final = 160
+_FLOOD_PAUSE_SECONDS: Final = 0.02
+_SLICE_SECONDS: Final = 0.1
 _POLL_SECONDS = 0.1
 _MIN_REFUSED_SECONDS = 3.0
 _MAX_DEPARTURE_SECONDS = 0.6
@@ -231,6 +239,37 @@
         environment.remove_server(leaving)
 
 
+@_fault('flood', FLOODS)
+async def _flood_router(environment: SoakEnvironment, seconds: float) -> None:
+    """Send more requests to a router than its processor can serve."""
+    router = environment.rng.choice(environment.routers)
+    first = len(environment.flood_callers)
+    callers = [
+        Caller(
+            f'f{first + index}',
+            environment,
+            random.Random(environment.rng.random()),
+            keeps_connection=bool(index % 2),
+            address=router.endpoints.caller_address,
+            max_pause_seconds=_FLOOD_PAUSE_SECONDS,
+        )
+        for index in range(_FLOOD_CALLERS_COUNT)
+    ]
+    environment.flood_callers.extend(callers)
+    tasks = [await curio.spawn(caller.run, daemon=True) for caller in callers]
+    for _ in range(int(seconds / (2 * _SLICE_SECONDS)) + 1):
+        await _run_half_the_time(router)
+    for task in tasks:
+        await task.cancel()
+
+
+async def _run_half_the_time(router: RouterProcess) -> None:
+    router.send_signal(signal.SIGSTOP)
+    await curio.sleep(_SLICE_SECONDS)
+    router.send_signal(signal.SIGCONT)
+    await curio.sleep(_SLICE_SECONDS)
+
+
 @_fault('configure', REFUSALS)
 async def _change_config_meanwhile(
     environment: SoakEnvironment, seconds: float
@@ -238,6 +277,12 @@
     await _change_config(environment, seconds)
 
 
+FLOODS.update(
+    {
+        name: FAULTS[name]
+        for name in ('kill', 'stop', 'roll', 'pause', 'replace', 'configure')
+    }
+)
 RESTORES.update(
     {
         name: FAULTS[name]
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """One soak run: traffic, random faults and checks of the guarantees."""
 
 import random
+import re
 import time
 from collections import Counter
 from collections.abc import Iterator, Mapping
@@ -37,6 +38,7 @@
 # Requests of the other routes are retryable, so a request may be rejected
 # after one of its attempts was executed and failed.
 _AT_MOST_ONCE_ROUTES: Final = frozenset(('booking', 'draft'))
+_PASSED_ON: Final = re.compile(r'"passed_on": ([0-9]+)')
 _ERROR_MARKERS: Final = (
     'Traceback',
     'handler failed',
@@ -64,7 +66,7 @@
     """Result of a run.
 
     :param problems: broken guarantees, empty if the run passed.
-    :param outcomes: number of requests by outcome.
+    :param outcomes: number of requests by outcome, and of those passed on.
     :param faults: names and durations in the order in which they started.
     """
 
@@ -100,12 +102,14 @@
         await _recover(environment, callers)
         for task in tasks:
             await task.cancel()
+        callers.extend(environment.flood_callers)
         problems = [
             *environment.problems,
             *_check_guarantees(environment, callers),
         ]
         problems += _error_lines(environment)
-    outcomes = Counter(record.outcome.value for record in _records(callers))
+        outcomes = Counter(one.outcome.value for one in _records(callers))
+        outcomes['passed on'] = _passed_on_count(environment)
     return SoakResult(
         settings.seed, tuple(problems), dict(outcomes), tuple(faults)
     )
@@ -252,5 +256,11 @@
                 yield f'{router.endpoints.name} logged: {line[:300]}'
 
 
+def _passed_on_count(environment: SoakEnvironment) -> int:
+    """Return how many requests routers have passed on to others."""
+    logs = [router.log_path.read_text() for router in environment.routers]
+    return sum(map(int, _PASSED_ON.findall('\n'.join(logs))))
+
+
 def _records(callers: list[Caller]) -> list[RequestRecord]:
     return [record for caller in callers for record in caller.records]
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -60,6 +60,8 @@
 
     :param keeps_connection: whether it uses a connection until the router
         closes it, also that of a router that is not named any more.
+    :param address: of the only router that it uses.
+    :param max_pause_seconds: between two requests.
     :param records: all requests so far.
     """
 
@@ -67,6 +69,8 @@
     environment: SoakEnvironment
     rng: random.Random
     keeps_connection: bool = False
+    address: str = ''
+    max_pause_seconds: float = _MAX_PAUSE_SECONDS
     records: list[RequestRecord] = field(default_factory=list)
     _addresses: list[str] = field(default_factory=list)
     _resolved_seconds: float = 0.0
@@ -82,7 +86,7 @@
             self.records.append(
                 RequestRecord(request_id, route, sent_seconds, outcome, detail)
             )
-            await curio.sleep(self.rng.uniform(0, _MAX_PAUSE_SECONDS))
+            await curio.sleep(self.rng.uniform(0, self.max_pause_seconds))
 
     async def _send(
         self, route: str, request_id: str
@@ -153,6 +157,8 @@
         )
 
     async def _choose_address(self) -> str:
+        if self.address:
+            return self.address
         now_seconds = time.monotonic()
         if now_seconds - self._resolved_seconds > _ADDRESS_TTL_SECONDS:
             self._addresses = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dotterelhatch.net.http import HttpError, HttpServer, fetch
-from soak.faults import REFUSALS, RESTORES
+from soak.faults import FLOODS, REFUSALS, RESTORES
 from soak.proxy import FaultProxy, NetworkFault
 from soak.run import SoakSettings, run_soak
 from soak.servers import expected_body, expected_stream
@@ -60,6 +60,20 @@
     assert result.outcomes['served'] > 20
 
 
+def test_guarantees_hold_while_callers_flood_one_router(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that are lost or mixed up between routers.
+
+    The flooded router passes requests on while routers are killed, stopped
+    and paused.
+    """
+    settings = SoakSettings(7, tmp_path, faulty_seconds=8, faults=FLOODS)
+    result = run_soak(settings)
+    assert not result.problems, result
+    assert result.outcomes['served'] > 20
+
+
 def test_expected_responses_differ_between_requests() -> None:
     """Guards against a soak test that can't detect mixed-up responses.
 
