Accept up to eight connections in a round

Cause: four connections were accepted a round, which was chosen when each of them cost a rejection whose organisation was not known. Rounds are shorter and rejections cheaper now, and what is accepted takes turns.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -103,7 +103,7 @@
 
 
 # Connections that are accepted in one round of the event loop.
-_MAX_ACCEPTED_COUNT: Final = 4
+_MAX_ACCEPTED_COUNT: Final = 8
 # Above this number, requests of the organisation that has the most of them
 # waiting are rejected. The operating system would drop the connections of all
 # organisations alike.
