Let callers read a response that comes before the end of their body

A caller that sends a long body got a reset instead of the rejection of the peer that its request was passed to.

Cause: the connection of the caller was closed at the end of the response, with bytes of the body unread, which resets it.

Only a response that breaks off is reset.

Found while reading.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -772,12 +772,16 @@
         timeout_seconds = self._limits.write_timeout_seconds
         passed = PassedRequest(connection.stream, address, timeout_seconds)
         try:
-            await passed.run(received)
+            is_complete = await passed.run(received)
         except NotPassedError as error:
             _LOGGER.debug('a request was not passed on: %s', error)
             return False
         self.counts.passed_on_count += 1
-        connection.abort()
+        connection.must_close = True
+        if not is_complete:
+            # A regular end could be taken for the end of the response.
+            connection.stream.reset_on_close()
+            connection.abort()
         return True
 
     async def _reject_accepted(
--- a/src/dotterelhatch/net/passing.py
+++ b/src/dotterelhatch/net/passing.py
@@ -53,10 +53,11 @@
         self._address = address
         self._timeout_seconds = timeout_seconds
 
-    async def run(self, received: bytes) -> None:
+    async def run(self, received: bytes) -> bool:
         """Relay the request and its response.
 
         :param received: the first bytes of the request, with its whole head.
+        :returns: whether the connection of the other server ended regularly.
         :raises NotPassedError: the request can be served here instead.
         """
         try:
@@ -66,12 +67,11 @@
         except (OSError, WaitTimeoutError) as error:
             raise NotPassedError(str(error)) from error
         try:
-            await self._relay(server, received)
+            return await self._relay(server, received)
         finally:
             server.close()
-            self._caller.close()
 
-    async def _relay(self, server: SocketStream, received: bytes) -> None:
+    async def _relay(self, server: SocketStream, received: bytes) -> bool:
         server.set_options(_PROBE_OPTIONS)
         sending = await curio.spawn(
             self._send, server, _with_close(received), daemon=True
@@ -80,10 +80,10 @@
             while content := await server.read():
                 await self._caller.write(content, self._timeout_seconds)
         except (OSError, WaitTimeoutError):
-            # A regular end could be taken for the end of the response.
-            self._caller.reset_on_close()
+            return False
         finally:
             await sending.cancel()
+        return True
 
     async def _send(self, server: SocketStream, content: bytes) -> None:
         """Send what the caller sends, until it disconnects."""
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -24,6 +24,7 @@
 
 REQUEST = b'POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
 BODY = b'x' * 300_000
+LONG_BODY = b'x' * 3_000_000
 FLOOD_COUNT = 40
 UNUSED_ADDRESS = '127.0.0.1:9'
 
@@ -156,6 +157,36 @@
                 await read_response(stream)
 
 
+@run_async
+async def test_a_response_before_the_end_of_a_long_body_arrives() -> None:
+    """Guards against a reset that discards the response.
+
+    The caller sends more than anybody reads.
+    """
+
+    async def reject(exchange: ServerExchange) -> None:
+        exchange.close_after_response()
+        await exchange.send(Response(503, (), b'0\r\n\r\n'))
+
+    async with (
+        HttpServer('127.0.0.1:0', reject) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', reject) as server,
+    ):
+        streams = send_together(server, LONG_BODY)
+        # A reset would end them with an error.
+        tasks = [
+            await curio.spawn(stream.write, LONG_BODY) for stream in streams
+        ]
+        for task, stream in zip(tasks, streams, strict=True):
+            response = b''
+            while content := await stream.read():
+                response += content
+            assert response.startswith(b'HTTP/1.1 503')
+            stream.close()
+            await task.join()
+        assert server.counts.passed_on_count > 0
+
+
 @run_async
 async def test_the_other_server_learns_that_a_caller_has_left() -> None:
     """Guards against work for callers that do not wait any more."""
