Reject one waiting request for each connection that is accepted

At a slow router whose callers flood it on open connections, nobody was served.

Cause: when the queue was full, all requests above its limit were rejected before the next one was read.

test_a_slow_router_serves_beside_its_rejections[0.1] failed before and passes.

--- a/src/dotterelhatch/net/intake.py
+++ b/src/dotterelhatch/net/intake.py
@@ -147,8 +147,12 @@
         self._queue.add(entry, flow, self._clock(), source)
 
     async def reject_excess(self, max_count: int) -> None:
-        """Reject requests until no more than some are waiting."""
-        while entry := self._queue.take_excess(max_count):
+        """Reject a request if more than some are waiting.
+
+        It is one at a time, so that rejections leave time for responses.
+        """
+        entry = self._queue.take_excess(max_count)
+        if entry is not None:
             await _run(entry.reject)
 
     async def _run_round(self) -> None:
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -311,7 +311,8 @@
             self._queue.add(
                 arrival, arrival.flow, self.now_seconds, source='host'
             )
-            while excess := self._queue.take_excess(WAITING_COUNT):
+            excess = self._queue.take_excess(WAITING_COUNT)
+            if excess is not None:
                 self._reject_unread(excess)
 
     def _receive(self) -> None:
--- a/tests/test_fleet_fairness.py
+++ b/tests/test_fleet_fairness.py
@@ -167,3 +167,21 @@
     )
     got = fleet.served['flood'] / fleet.served['rival']
     assert flood / rival == pytest.approx(got, rel=0.2), fleet.served
+
+
+@pytest.mark.parametrize('speed', [0.1, 0.3])
+def test_a_slow_router_serves_beside_its_rejections(speed: float) -> None:
+    """Guards against a full queue whose rejections use up the processor."""
+    fleet = OverloadedFleet(
+        [
+            Organisation('flood', 1500.0, 0, 0.0),
+            Organisation('other', 400.0, 1),
+        ],
+        [speed, 4.0],
+        ENGINES_COUNT,
+        seed=1,
+    )
+    fleet.run(WARM_UP_SECONDS)
+    fleet.run(WINDOW_SECONDS)
+    capacity = speed / SERVED_SECONDS * WINDOW_SECONDS
+    assert fleet.served['flood'] >= capacity / 2, (fleet.served, capacity)
