Pass requests on only to routers that the flood does not hide

A busy router served the flood of another one instead of its own callers.

Cause: a peer had room if it got less than the mean, and the mean contained the flooded router. One of four routers with 300 requests a second looked idle beside one with 2,000.

Change: the mean is that of the routers that are not flooded.

--- a/src/dotterelhatch/core/arrivals.py
+++ b/src/dotterelhatch/core/arrivals.py
@@ -11,7 +11,12 @@
 
 from dotterelhatch.ids import RouterId
 
-__all__ = ('ArrivalRate', 'exceeds_peer_rates', 'flooded_routers')
+__all__ = (
+    'ArrivalRate',
+    'exceeds_peer_rates',
+    'flooded_routers',
+    'routers_with_room',
+)
 
 # Long enough to average out short bursts of ordinary callers, and short enough
 # to detect a flood within a second.
@@ -76,3 +81,23 @@
     return frozenset(
         router for router, rate in rates_per_second.items() if rate > limit
     )
+
+
+def routers_with_room(
+    rates_per_second: Mapping[RouterId, float],
+) -> frozenset[RouterId]:
+    """Return the routers that can serve requests of flooded ones.
+
+    They get no more than the mean of those that are not flooded. The others
+    may need their processors for their own callers.
+
+    :param rates_per_second: request rate of each live router.
+    """
+    flooded = flooded_routers(rates_per_second)
+    rates = {
+        router: rate
+        for router, rate in rates_per_second.items()
+        if router not in flooded
+    }
+    mean = sum(rates.values()) / max(1, len(rates))
+    return frozenset(router for router, rate in rates.items() if rate <= mean)
--- a/src/dotterelhatch/gateway/intake.py
+++ b/src/dotterelhatch/gateway/intake.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-from dotterelhatch.core.arrivals import flooded_routers
+from dotterelhatch.core.arrivals import flooded_routers, routers_with_room
 from dotterelhatch.core.intake import Flow
 from dotterelhatch.core.peers import Heartbeat, heartbeat_interval_seconds
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import WireFormat
-from dotterelhatch.ids import OrganisationId
+from dotterelhatch.ids import OrganisationId, RouterId
 
 __all__ = ('GatewayIntake',)
 
@@ -124,7 +124,7 @@
         suitable: list[Heartbeat] = []
         if state.settings.router_id in flooded_routers(rates):
             suitable = self._suitable_peers(
-                sum(rates.values()) / len(rates), now_seconds
+                routers_with_room(rates), now_seconds
             )
         near = [
             peer
@@ -138,12 +138,9 @@
         )
 
     def _suitable_peers(
-        self, max_per_second: float, now_seconds: float
+        self, with_room: frozenset[RouterId], now_seconds: float
     ) -> list[Heartbeat]:
-        """Return the peers that know what this router knows and have room.
-
-        :param max_per_second: request rate of a peer that has room.
-        """
+        """Return the peers with room that know what this router knows."""
         peers = self._state.peers
         interval_seconds = heartbeat_interval_seconds(
             len(peers.live(now_seconds))
@@ -155,7 +152,7 @@
             for peer in peers.heard_since(oldest_seconds)
             if peer.is_ready
             and peer.is_source_seen >= is_source_seen
-            and peer.requests_per_second <= max_per_second
+            and peer.router in with_room
             and self._is_current(peer)
         ]
 
--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -15,7 +15,7 @@
 
 import curio
 
-from dotterelhatch.core.arrivals import flooded_routers
+from dotterelhatch.core.arrivals import flooded_routers, routers_with_room
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.intake import IntakeQueue
 from dotterelhatch.core.load import TargetLoad
@@ -448,6 +448,7 @@
         ]
         self._advertised = list(range(len(speeds)))
         self.flooded: frozenset[int] = frozenset()
+        self.with_room = self._advertised
         self._listed_seconds = self.now_seconds
 
     def run(self, seconds: float, served_elsewhere: float = 0) -> None:
@@ -495,14 +496,9 @@
 
     def pass_on(self, arrival: _Arrival, now_seconds: float) -> None:
         """Send a request to a router that is not flooded."""
-        peers = [
-            index
-            for index in range(len(self.routers))
-            if index not in self.flooded
-        ]
         passed = replace(arrival, seconds=now_seconds, is_passed=True)
         heapq.heappush(
-            self.routers[self._rng.choice(peers)].arrivals,
+            self.routers[self._rng.choice(self.with_room)].arrivals,
             (passed.seconds, next(self.order), passed),
         )
 
@@ -559,6 +555,12 @@
             for index, router in enumerate(self.routers)
             if router.state.settings.router_id in flooded
         )
+        with_room = routers_with_room(rates)
+        self.with_room = [
+            index
+            for index, router in enumerate(self.routers)
+            if router.state.settings.router_id in with_room
+        ]
         if self.now_seconds - self._listed_seconds < ADDRESS_LIFETIME_SECONDS:
             return
         self._listed_seconds = self.now_seconds
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -8,6 +8,7 @@
     ArrivalRate,
     exceeds_peer_rates,
     flooded_routers,
+    routers_with_room,
 )
 from dotterelhatch.ids import RouterId
 
@@ -75,3 +76,24 @@
     """Guards against an address list that leaves too few routers."""
     by_router = {RouterId(str(index)): rate for index, rate in enumerate(rates)}
     assert 2 * len(flooded_routers(by_router)) <= len(rates)
+
+
+@pytest.mark.parametrize(
+    ('rates', 'with_room'),
+    [
+        ([700, 20, 20, 20], {1, 2, 3}),
+        ([2000, 300, 0, 0], {2, 3}),
+        ([700, 20, 40, 90], {1, 2}),
+        ([40, 40], {0, 1}),
+        ([], set()),
+    ],
+)
+def test_a_router_below_a_flood_may_have_no_room(
+    rates: list[float], with_room: set[int]
+) -> None:
+    """Guards against requests that are passed to routers that are busy too."""
+    by_router = {
+        RouterId(str(index)): float(rate) for index, rate in enumerate(rates)
+    }
+    expected = {RouterId(str(index)) for index in with_room}
+    assert routers_with_room(by_router) == expected
--- a/tests/test_fleet_fairness.py
+++ b/tests/test_fleet_fairness.py
@@ -185,3 +185,21 @@
     fleet.run(WINDOW_SECONDS)
     capacity = speed / SERVED_SECONDS * WINDOW_SECONDS
     assert fleet.served['flood'] >= capacity / 2, (fleet.served, capacity)
+
+
+def test_passed_requests_do_not_displace_those_of_a_busy_peer() -> None:
+    """Guards against a flood that uses up the processor of other routers.
+
+    The processor of the busy one is used up by its own callers.
+    """
+    speed = 0.645
+    fleet = OverloadedFleet(
+        [Organisation('busy', 300.0, 1), Organisation('flood', 2000.0, 0, 1.0)],
+        [speed] * 4,
+        ENGINES_COUNT,
+        seed=1,
+    )
+    fleet.run(WARM_UP_SECONDS)
+    fleet.run(WINDOW_SECONDS)
+    capacity = speed / SERVED_SECONDS * WINDOW_SECONDS
+    assert fleet.served['busy'] >= 0.9 * capacity, (fleet.served, capacity)
