Do not count what a busy router rejects unread as overload of the engines

An organisation lost a sixth to a quarter of its requests while engines were idle, because another one flooded a router.

Cause: what a router rejects for its processor counted as a rejection in the admission window of the fleet, so under a flood all others were limited to their shares, also if nobody could use what they left.

Change: it counts as demand only. Where engines are full, their rejections count as before. What a flooding organisation is owed it gets from the peers.

--- a/src/dotterelhatch/gateway/requests.py
+++ b/src/dotterelhatch/gateway/requests.py
@@ -155,7 +155,6 @@
                 partial(
                     self._state.count_rejected_demand,
                     service,
-                    route.name,
                     organisation,
                     usage_tokens(service, metadata),
                 ),
@@ -267,9 +266,7 @@
         if state.may_close_connection():
             self.exchange.close_after_response()
         tokens = usage_tokens(service, metadata)
-        state.count_rejected_demand(
-            service, route.name, self._organisation, tokens
-        )
+        state.count_rejected_demand(service, self._organisation, tokens)
         self.decision_facts = {
             **self.decision_facts,
             'route': route.name,
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -245,22 +245,19 @@
     def count_rejected_demand(
         self,
         service: ServiceSpec,
-        route_name: str,
         organisation: OrganisationId | None,
         tokens: int,
     ) -> None:
         """Count a request that this router cannot serve for the fair shares.
 
-        The shares and the overload are those of the fleet, whichever router
-        rejects. Retries are recognised by their body, which has not been read,
-        so they count again; demand above the share does not change it.
+        It is demand, but no overload: the processor of one router says nothing
+        about the engines, which would be left idle if others were limited.
+        Retries are recognised by their body, which has not been read, so they
+        count again; demand above the share does not change it.
         """
         if organisation is None or not tokens:
             return
         self.count_asked_tokens(service, organisation, tokens)
-        self.admission_window(service.id).add(
-            route_name, self.clock(), admitted=False
-        )
 
     def count_placed_tokens(
         self, service: ServiceSpec, organisation: OrganisationId, tokens: int
--- a/tests/test_fleet_fairness.py
+++ b/tests/test_fleet_fairness.py
@@ -203,3 +203,23 @@
     fleet.run(WINDOW_SECONDS)
     capacity = speed / SERVED_SECONDS * WINDOW_SECONDS
     assert fleet.served['busy'] >= 0.9 * capacity, (fleet.served, capacity)
+
+
+def test_a_flood_that_is_not_served_limits_nobody() -> None:
+    """Guards against shares that leave engines idle.
+
+    There is no router that could serve the flood, and the engines have room
+    for all that the other organisation asks.
+    """
+    fleet = OverloadedFleet(
+        [
+            Organisation('flood', 1500.0, 0, 1.0),
+            Organisation('other', 400.0, 1),
+        ],
+        [0.3, 4.0],
+        ENGINES_COUNT,
+        seed=1,
+    )
+    fleet.run(WARM_UP_SECONDS)
+    fleet.run(WINDOW_SECONDS)
+    assert fleet.served['other'] >= 0.95 * fleet.asked['other'], fleet.served
