Read more changes of the servers in a call to the store in a large fleet

Cause: while servers register, every router calls the store five times a second.

Change: the delay between two calls for changes of the servers grows with the number of routers, from 0.2 s to 0.4 s, and is at most 0.15 of the time within which requests to a leaving server have to stop. Fleets of up to 16 routers call as before. The first change of a group is still read at once.

Not measured yet on its own.

--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -37,6 +37,7 @@
     'RouterDiscovery',
     'StoreWatcher',
     'aligned_poll_seconds',
+    'batch_delay_seconds',
     'long_poll_seconds',
 )
 
@@ -53,9 +54,14 @@
 _MAX_LONG_POLL_SECONDS: Final = 10.0
 # Server rows change in groups: at a start, at a release and after an outage.
 # The delay lets one call read a whole group, because the store charges for each
-# call. It is a tenth of the time within which requests to a leaving server have
-# to stop.
-_BATCH_DELAY_SECONDS: Final = 0.2
+# call, and all routers call at each change. In a large fleet it is longer. The
+# maximum keeps it below the time after which a router fetches a newer document
+# from a peer, and a small part of the time within which requests to a leaving
+# server have to stop.
+_MIN_BATCH_DELAY_SECONDS: Final = 0.2
+_BATCH_DELAY_PER_ROUTER_SECONDS: Final = 0.0125
+_MAX_BATCH_DELAY_SECONDS: Final = 0.4
+_MAX_BATCH_DEPARTURE_RATIO: Final = 0.15
 _MIN_BACKOFF_SECONDS: Final = 0.15
 _MAX_BACKOFF_SECONDS: Final = 0.6
 _OPERATOR_TABLE: Final = 'op'
@@ -84,6 +90,21 @@
     )
 
 
+def batch_delay_seconds(routers_count: int, departure_seconds: float) -> float:
+    """Return how long a router waits for further changes of the servers.
+
+    :param routers_count: routers that call the store at each change.
+    :param departure_seconds: time after which a target that has left must get
+        no requests.
+    """
+    scaled_seconds = min(
+        _MAX_BATCH_DELAY_SECONDS,
+        _BATCH_DELAY_PER_ROUTER_SECONDS * routers_count,
+        _MAX_BATCH_DEPARTURE_RATIO * departure_seconds,
+    )
+    return max(_MIN_BATCH_DELAY_SECONDS, scaled_seconds)
+
+
 def aligned_poll_seconds(routers_count: int, rng: random.Random) -> float:
     """Return how long a call waits that all routers make at the same time.
 
@@ -208,7 +229,16 @@
         if is_whole_table or page.rows:
             await self._gateway.snapshot_store.put_if_newer(mirror.snapshot())
             if mirror.name == _SERVER_TABLE:
-                await curio.sleep(_BATCH_DELAY_SECONDS)
+                await self._wait_for_batch()
+
+    async def _wait_for_batch(self) -> None:
+        state = self._gateway.state
+        routers_count = len(state.peers.live(state.clock())) + 1
+        await curio.sleep(
+            batch_delay_seconds(
+                routers_count, state.settings.target_departure_seconds
+            )
+        )
 
     async def _read_page(self, table_watch: '_WatchState') -> RowsPage | None:
         """Read and apply a page; return None if the call was aborted."""
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -18,6 +18,7 @@
     RouterDiscovery,
     StoreWatcher,
     aligned_poll_seconds,
+    batch_delay_seconds,
     long_poll_seconds,
 )
 from dotterelhatch.platform.mirror import TableMirror
@@ -124,6 +125,23 @@
     assert 2 * routers_count / wait_seconds <= 0.05 * 2000
 
 
+@pytest.mark.parametrize(
+    ('routers_count', 'departure_seconds', 'delay_seconds'),
+    [(1, 2, 0.2), (4, 2, 0.2), (16, 3, 0.2), (36, 3, 0.4), (370, 3, 0.4)],
+)
+def test_a_large_fleet_reads_more_changes_in_a_call(
+    routers_count: int, departure_seconds: float, delay_seconds: float
+) -> None:
+    """Guards against five calls a second of every router while servers start.
+
+    The delay stays below 0.5 s, after which a router would fetch the document
+    from a peer, and is a small part of the time in which a target leaves.
+    """
+    delay = batch_delay_seconds(routers_count, departure_seconds)
+    assert delay == pytest.approx(delay_seconds)
+    assert delay <= max(0.2, 0.15 * departure_seconds)
+
+
 def _answer_times(
     routers_count: int, rng: random.Random
 ) -> list[tuple[list[float], ...]]:
