Send no requests to evacuated failure domains

Operators could not take a failure domain out of service: its servers had to leave one by one. A row evacuate/ZONE in the table op now takes all targets of a zone out of the ready ones until it is removed. Everything that places a request asks for the ready targets at that moment, so repeats, resumed streams, isolated and held requests are covered.

After a return of the store from an older copy, a withdrawn row stays without effect unless its version shows that it was written again, and a row that is missing stays in force for 60 s. For that, subscribers of a document are called for a new era too, even if its content is the same; a router that takes single rows of a former era from a peer passes on the merged table, not the one of the peer.

--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -79,6 +79,9 @@
 _MAX_PAUSE_RETRY_AFTER_SECONDS: Final = 30.0
 # Share of a pause over which the callers that were rejected in it return.
 _PAUSE_JITTER_RATIO: Final = 0.25
+# Nobody knows when an evacuation ends. Its end reaches all routers within this
+# time.
+_EVACUATED_RETRY_AFTER_SECONDS: Final = 5.0
 # Targets that crashed start again within seconds.
 _SPARED_RETRY_AFTER_SECONDS: Final = 1.0
 # Longest queue of a plain target, in multiples of its slots, that still drains
@@ -156,6 +159,7 @@
 
     NO_TARGET: ClassVar[str] = 'no_target'
     CRASH_SUSPECT: ClassVar[str] = 'crash_suspect'
+    EVACUATED: ClassVar[str] = 'evacuated'
 
     reason: str
     retry_after_seconds: float
@@ -345,6 +349,11 @@
         rejection = self.reject_if_paused(request.service.id, now_seconds)
         if rejection is not None:
             return rejection
+        if self._registry.is_evacuated(request.service.id):
+            return Rejection(
+                Rejection.EVACUATED,
+                self._add_jitter(_EVACUATED_RETRY_AFTER_SECONDS),
+            )
         waits_seconds = [
             self._limit_wait_seconds(request, entry, now_seconds)
             for entry in self._registry.ready(request.service.id)
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -63,6 +63,7 @@
         self._lapsed_until_seconds: dict[TargetId, float] = {}
         # Starts of targets that are not used, whatever the list says.
         self._unusable: set[tuple[TargetId, int]] = set()
+        self._evacuated: frozenset[FailureDomain] = frozenset()
         self._ready_by_service: dict[ServiceId, tuple[TargetEntry, ...]] = {}
 
     def __len__(self) -> int:
@@ -162,6 +163,32 @@
         """
         return (entry.id, entry.started_ms) not in self._unusable
 
+    def set_evacuated(self, domains: frozenset[FailureDomain]) -> None:
+        """Use no targets of these failure domains, also of later entries."""
+        if domains != self._evacuated:
+            self._evacuated = domains
+            self._rebuild_ready()
+
+    def in_domain(self, domain: FailureDomain) -> list[TargetEntry]:
+        """Return the known targets of a failure domain."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.failure_domain == domain
+        ]
+
+    @property
+    def evacuated_count(self) -> int:
+        """Return the number of targets that only an evacuation excludes."""
+        return sum(map(self._is_only_evacuated, self._entries.values()))
+
+    def is_evacuated(self, service: ServiceId) -> bool:
+        """Return whether evacuations leave a service without targets."""
+        return not self.ready(service) and any(
+            entry.service == service and self._is_only_evacuated(entry)
+            for entry in self._entries.values()
+        )
+
     @property
     def unusable_count(self) -> int:
         """Return the number of targets that are listed as ready in vain."""
@@ -177,6 +204,13 @@
         """
         return self._ready_by_service.get(service, ())
 
+    def _is_only_evacuated(self, entry: TargetEntry) -> bool:
+        return (
+            entry.failure_domain in self._evacuated
+            and entry.state is TargetState.READY
+            and self.is_usable(entry)
+        )
+
     def _is_kept(
         self, entry: TargetEntry, now_seconds: float, window_until: float
     ) -> bool:
@@ -202,7 +236,11 @@
     def _rebuild_ready(self) -> None:
         ready_by_service: dict[ServiceId, list[TargetEntry]] = {}
         for entry in self._entries.values():
-            if entry.state is TargetState.READY and self.is_usable(entry):
+            if (
+                entry.state is TargetState.READY
+                and entry.failure_domain not in self._evacuated
+                and self.is_usable(entry)
+            ):
                 ready_by_service.setdefault(entry.service, []).append(entry)
         former = self._ready_by_service
         self._ready_by_service = {}
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -345,6 +345,7 @@
         no_target = rejection.reason in {
             Rejection.NO_TARGET,
             Rejection.CRASH_SUSPECT,
+            Rejection.EVACUATED,
         }
         detail = rejection.reason
         if rejection.wait_seconds is not None:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -401,6 +401,7 @@
 
     async def _decide(self) -> None:
         self.state.expire_targets()
+        self.state.expire_evacuations()
         self.state.decide_crash_causes()
 
     async def _send_heartbeats(self) -> None:
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -140,6 +140,24 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.evacuated_domains = Gauge(
+            'evacuated_domains',
+            'Failure domains whose targets get no requests.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.lapsed_evacuations = Gauge(
+            'lapsed_evacuations',
+            'Evacuations in force that the source has lost.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.evacuated_targets = Gauge(
+            'evacuated_targets',
+            'Targets that get no requests because of an evacuation alone.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.shortened_heartbeats = Counter(
             'shortened_heartbeats',
             'Heartbeats without details, as they did not fit into a datagram.',
--- a/src/dotterelhatch/gateway/snapshots.py
+++ b/src/dotterelhatch/gateway/snapshots.py
@@ -117,16 +117,24 @@
     async def put_if_newer(self, snapshot: Snapshot) -> bool:
         """Store a snapshot if it is newer; return whether it was stored.
 
-        The subscriber is called only if the content has changed.
+        The subscriber is called only if the content or its era has changed.
         """
         known = self._snapshots.get(snapshot.name)
         point = self._with_era(snapshot.name, snapshot.point)
         if known is not None and known.point >= point:
             return False
         snapshot = replace(snapshot, revision=point.revision, era=point.era)
-        if known is None or known.content != snapshot.content:
+        if (
+            known is None
+            or known.content != snapshot.content
+            or known.era != snapshot.era
+        ):
             if not await self._apply(snapshot):
                 return False
+            # The subscriber may have stored a newer one meanwhile.
+            known = self._snapshots.get(snapshot.name)
+            if known is not None and known.point >= snapshot.point:
+                return False
         self._snapshots[snapshot.name] = snapshot
         self._first_eras.setdefault(snapshot.name, snapshot.era)
         return True
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -15,6 +15,7 @@
 from dotterelhatch.core.crashblame import CauseSet
 from dotterelhatch.core.crashcauses import CrashCauses, format_cause
 from dotterelhatch.core.durations import RouteDurations
+from dotterelhatch.core.evacuations import EvacuationChanges, Evacuations
 from dotterelhatch.core.fairshare import (
     FairShareTracker,
     Usage,
@@ -46,7 +47,13 @@
 from dotterelhatch.gateway.loadreport import LoadReport
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
-from dotterelhatch.ids import OrganisationId, RouterId, ServiceId, TargetId
+from dotterelhatch.ids import (
+    FailureDomain,
+    OrganisationId,
+    RouterId,
+    ServiceId,
+    TargetId,
+)
 from dotterelhatch.net.bodies import request_bodies
 
 __all__ = ('GatewayState', 'boottime_seconds')
@@ -90,6 +97,7 @@
         self.metrics = GatewayMetrics()
         self.load_report = LoadReport(self.metrics)
         self.registry = TargetRegistry(settings.target_departure_seconds)
+        self.evacuations = Evacuations()
         self.load_tracker = LoadTracker()
         self.health = TargetHealth()
         self.crash_causes = CrashCauses(settings.router_id, self._live_routers)
@@ -123,6 +131,9 @@
         self.metrics.unusable_targets.set_function(
             lambda: self.registry.unusable_count
         )
+        self.metrics.evacuated_targets.set_function(
+            lambda: self.registry.evacuated_count
+        )
         self.metrics.cached_prefixes.set_function(
             lambda: self.balancer.cache.prefixes_count
         )
@@ -455,6 +466,60 @@
             routes_count=len(table.routes),
         )
 
+    def apply_evacuations(
+        self, requested: frozenset[FailureDomain], era: int
+    ) -> None:
+        """Apply the requested evacuations.
+
+        :param era: of the source of the requests.
+        """
+        changes = self.evacuations.apply(requested, era, self.clock())
+        self._on_evacuations_changed(changes, 'withdrawn')
+
+    def expire_evacuations(self) -> None:
+        """End evacuations that were lost and not requested again."""
+        changes = self.evacuations.expire(self.clock())
+        self._on_evacuations_changed(changes, 'not_requested_again')
+
+    def _on_evacuations_changed(
+        self, changes: EvacuationChanges, reason: str
+    ) -> None:
+        """Stop or resume the use of targets; log the changes.
+
+        :param reason: why those that ended did.
+        """
+        in_force = self.evacuations.in_force
+        self.registry.set_evacuated(in_force)
+        self.metrics.evacuated_domains.set(len(in_force))
+        self.metrics.lapsed_evacuations.set(len(self.evacuations.lapsed))
+        for domain in sorted(changes.begun):
+            self._log_evacuation(domain, 'begun', 'requested')
+        for domain in sorted(changes.lapsed):
+            self._log_evacuation(domain, 'lapsed', 'missing_in_copy')
+        for domain in sorted(changes.ended):
+            self._log_evacuation(domain, 'ended', reason)
+            # Nothing was sent there, so the parts may have been evicted.
+            for returned in self.registry.in_domain(domain):
+                self.balancer.cache.reset(returned.id)
+        services = {
+            entry.service
+            for changed in changes.begun | changes.ended
+            for entry in self.registry.in_domain(changed)
+        }
+        for service in services:
+            self.update_ready_targets(service)
+
+    def _log_evacuation(
+        self, domain: FailureDomain, change: str, reason: str
+    ) -> None:
+        log_decision(
+            Decision.EVACUATION_CHANGED,
+            failure_domain=domain,
+            change=change,
+            reason=reason,
+            targets_count=len(self.registry.in_domain(domain)),
+        )
+
     def apply_targets(
         self,
         entries: Iterable[TargetEntry],
--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -3,7 +3,7 @@
 import functools
 import logging
 import re
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from typing import Annotated, Final, Literal
 
 from pydantic import Field
@@ -31,8 +31,10 @@
 
 __all__ = (
     'configuration_version',
+    'decode_evacuations',
     'decode_routing_table',
     'decode_targets',
+    'operator_row_identity',
     'server_start',
 )
 
@@ -47,6 +49,8 @@
 _MAX_SLOTS_COUNT: Final = 1_000_000
 # The id of a server is sent to it in a header.
 _ID_PATTERN: Final = re.compile('[!-~]{1,200}')
+_EVACUATION_PREFIX: Final = 'evacuate/'
+_MAX_DOMAIN_CHARS: Final = 200
 _STATES: Final = {
     'ready': TargetState.READY,
     'draining': TargetState.LEAVING,
@@ -82,6 +86,51 @@
         return 0
 
 
+def operator_row_identity(row: RowChange) -> Hashable:
+    """Return the key of a row, with its version if it asks for an evacuation.
+
+    An evacuation may be requested again after it was withdrawn, with the same
+    key and content; only the version distinguishes the two requests.
+    """
+    if row.key.startswith(_EVACUATION_PREFIX):
+        return row.key, row.version
+    return row.key
+
+
+def decode_evacuations(
+    rows: Iterable[RowChange],
+) -> tuple[frozenset[FailureDomain], int]:
+    """Return the failure domains to evacuate and the number of ignored rows.
+
+    The key says what is asked for. A row with other content than a JSON object
+    counts as well: sending requests to a domain that is to be evacuated is
+    worse than sparing one until its row is removed.
+    """
+    domains = set()
+    ignored_count = 0
+    for row in rows:
+        if not row.key.startswith(_EVACUATION_PREFIX) or row.content is None:
+            continue
+        domain = row.key.removeprefix(_EVACUATION_PREFIX)
+        if not 1 <= len(domain) <= _MAX_DOMAIN_CHARS:
+            ignored_count += 1
+            _LOGGER.error(
+                'ignored an evacuation whose zone is empty or too long',
+                extra={'key': row.key[:_MAX_DOMAIN_CHARS]},
+            )
+            continue
+        try:
+            _EvacuationRow.decode(row.content)
+        except InvalidDocumentError as error:
+            _LOGGER.warning(
+                'the content of an evacuation is malformed; its zone is '
+                'evacuated',
+                extra={'key': row.key, 'reason': str(error)},
+            )
+        domains.add(FailureDomain(domain))
+    return frozenset(domains), ignored_count
+
+
 def server_start(row: RowChange) -> tuple[str, int]:
     """Return the id of a server and its start, 0 if the row is malformed."""
     try:
@@ -126,6 +175,10 @@
     cold_left_ms: float = Field(alias='cold-left-ms', default=0)
 
 
+class _EvacuationRow(JsonModel):
+    """Row of an evacuation, of which no field is used."""
+
+
 class _Split(JsonModel):
     service: str
     weight: _Number
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -19,8 +19,10 @@
 from dotterelhatch.jsonmodel import InvalidDocumentError, JsonModel
 from dotterelhatch.platform.documents import (
     configuration_version,
+    decode_evacuations,
     decode_routing_table,
     decode_targets,
+    operator_row_identity,
     server_start,
 )
 from dotterelhatch.platform.mirror import RowRules, TableMirror
@@ -122,7 +124,8 @@
         self._watches: list[_WatchState] = []
         self._mirrors = {
             _OPERATOR_TABLE: TableMirror(
-                _OPERATOR_TABLE, RowRules(revision_of=configuration_version)
+                _OPERATOR_TABLE,
+                RowRules(configuration_version, operator_row_identity),
             ),
             _SERVER_TABLE: TableMirror(
                 _SERVER_TABLE, RowRules(identity_of=server_start)
@@ -323,18 +326,26 @@
 
     async def _apply_config(self, snapshot: Snapshot) -> None:
         state = self._gateway.state
-        ignored_rows = state.metrics.ignored_rows.labels(_OPERATOR_TABLE)
-        for row in self._restore_if_newer(snapshot).rows:
+        mirror = self._restore_if_newer(snapshot)
+        # Before the table, so that a router that starts uses no target of an
+        # evacuated domain.
+        domains, ignored_count = decode_evacuations(mirror.rows)
+        state.apply_evacuations(domains, mirror.era)
+        for row in mirror.rows:
             if row.key != _CONFIG_KEY or row.content is None:
                 continue
             try:
                 table = decode_routing_table(row.content)
             except InvalidDocumentError as error:
-                ignored_rows.set(1)
+                ignored_count += 1
                 _LOGGER.error('configuration not applied: %s', error)
                 continue
-            ignored_rows.set(0)
             self._apply_newer_table(table)
+        state.metrics.ignored_rows.labels(_OPERATOR_TABLE).set(ignored_count)
+        if mirror.point > snapshot.point:
+            # Only some rows of a former era were taken. Peers that follow this
+            # router need the others too.
+            await self._gateway.snapshot_store.put_if_newer(mirror.snapshot())
 
     def _apply_newer_table(self, table: RoutingTable) -> None:
         """Apply a table, unless the operator wrote a newer one before."""
