Stop naming ended routers while the store is reached

A router that hears no peer named the last ones for 30 s, as it may be cut off. If all others have ended, callers were sent to them for that long; they may be named for 7 s. A router that the store answers is not cut off and now names them for 5 s. A call for changes that relies on the calls of peers is made again when none is left, so that the router knows within about 5.2 s that it reaches the store.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -37,6 +37,10 @@
 # A network partition of one host lasts for seconds; after this time the fleet
 # may have changed.
 _ISOLATION_TIMEOUT_SECONDS: Final = 30.0
+# A router that reaches the source has rather lost its peers than its network.
+# It must not name a router that ended more than 7 s ago; the rest is for a
+# heartbeat that was delayed.
+_SOURCE_REACHED_TIMEOUT_SECONDS: Final = 5.0
 # Heartbeats are still sent to unreachable peers for this long, because a
 # network partition ends.
 _ADDRESS_LIFETIME_SECONDS: Final = 60.0
@@ -211,18 +215,29 @@
             default=-math.inf,
         )
 
-    def advertised(self, now_seconds: float) -> list[Heartbeat]:
+    def advertised(
+        self, now_seconds: float, *, is_source_reached: bool = False
+    ) -> list[Heartbeat]:
         """Return the peers whose addresses are given to callers.
 
-        A router that stops receiving any heartbeats is more likely
+        A router that reaches neither peers nor source is more likely
         partitioned than the only live router. It continues to return the
         peers that were live last: with its own address alone, it would
-        attract all callers that request addresses from it.
+        attract all callers that request addresses from it. One that reaches
+        the source soon stops to do so, as its peers may have ended.
+
+        :param is_source_reached: whether the source of the documents answered
+            this router itself recently.
         """
         live = self.live(now_seconds)
         if live:
             return live
-        return self.heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+        timeout_seconds = (
+            _SOURCE_REACHED_TIMEOUT_SECONDS
+            if is_source_reached
+            else _ISOLATION_TIMEOUT_SECONDS
+        )
+        return self.heard_since(now_seconds - timeout_seconds)
 
     def sharing(self, now_seconds: float) -> list[Heartbeat]:
         """Return the peers that share what the fleet may use.
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -206,7 +206,10 @@
         :param failure_domain: of the caller; routers in it come first.
         """
         now_seconds = self.state.clock()
-        peers = self.state.peers.advertised(now_seconds)
+        peers = self.state.peers.advertised(
+            now_seconds,
+            is_source_reached=self.state.has_source_responded(now_seconds),
+        )
         routers = [self._identity_heartbeat(), *peers]
         flooded = flooded_routers(self.state.request_rates(now_seconds))
         advertised_routers = [
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -145,19 +145,24 @@
         await self._watch_table(self._mirrors[_SERVER_TABLE])
 
     async def abort_outdated_polls(self) -> None:
-        """Call the store again once the process runs after a suspension.
+        """Call the store again after a suspension or the loss of all peers.
 
         A call that waits for changes since before it is answered only by the
-        next change.
+        next change, or after a wait that relies on the calls of the peers.
         """
         while True:
             await curio.sleep(_SUSPENSION_CHECK_SECONDS)
-            resumed_seconds = self._gateway.state.confirmations.resumed_seconds
             for table_watch in self._watches:
-                poll = table_watch.poll
-                if poll and poll.called_seconds < resumed_seconds:
+                if table_watch.poll and self._is_outdated(table_watch.poll):
                     await _abort_poll(table_watch)
 
+    def _is_outdated(self, poll: '_Poll') -> bool:
+        state = self._gateway.state
+        if poll.called_seconds < state.confirmations.resumed_seconds:
+            return True
+        relies_on_peers = poll.wait_seconds > _MIN_LONG_POLL_SECONDS
+        return relies_on_peers and not state.peers.live(state.clock())
+
     async def _watch_table(self, mirror: TableMirror) -> None:
         table_watch = _WatchState(mirror)
         self._watches.append(table_watch)
@@ -264,7 +269,7 @@
         if table_watch.outage or state.confirmations.needs(name):
             wait_seconds = 0
         task = await curio.current_task()
-        table_watch.poll = _Poll(task, state.clock())
+        table_watch.poll = _Poll(task, state.clock(), wait_seconds)
         try:
             page = await self._store.read_changes(name, since, wait_seconds)
             await curio.check_cancellation()
@@ -425,6 +430,7 @@
 
     task: Any
     called_seconds: float
+    wait_seconds: float
 
 
 @dataclass
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -238,6 +238,26 @@
     assert not directory.advertised(60)
 
 
+@pytest.mark.parametrize('heard_seconds', [0.0, 3.0])
+def test_a_router_that_reaches_the_store_names_no_ended_peers(
+    heard_seconds: float,
+) -> None:
+    """Guards against addresses of routers that ended more than 7 s ago.
+
+    All other routers end at once, right after their last heartbeat, and the
+    router still reaches the store. For a moment it names them, as heartbeats
+    may be lost.
+    """
+    directory = PeerDirectory(RouterId('r1'), 'h1')
+    directory.on_heartbeat(_heartbeat(), 0)
+    directory.on_heartbeat(_heartbeat(sequence=2), heard_seconds)
+    for elapsed_seconds, count in ((1, 1), (4, 1), (6.9, 0), (20, 0)):
+        now_seconds = heard_seconds + elapsed_seconds
+        peers = directory.advertised(now_seconds, is_source_reached=True)
+        assert len(peers) == count
+    assert directory.advertised(heard_seconds + 20)
+
+
 def test_heartbeats_are_less_frequent_with_many_peers() -> None:
     """Guards against heartbeat traffic that is quadratic in the routers.
 
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -36,6 +36,7 @@
 
     gateway: Gateway
     discovery: RouterDiscovery
+    watcher: StoreWatcher
 
     @property
     def version(self) -> int:
@@ -72,7 +73,7 @@
             discovery.run,
         ):
             await curio.spawn(work, daemon=True)
-        yield Router(gateway, discovery)
+        yield Router(gateway, discovery, watcher)
 
 
 async def until(condition: Callable[[], Any]) -> None:
@@ -469,6 +470,72 @@
             )
 
 
+@pytest.mark.parametrize('is_store_reached', [False, True])
+def test_routers_that_ended_are_not_named_while_the_store_is_reached(
+    *, is_store_reached: bool
+) -> None:
+    """Guards against callers that are sent to routers that ended.
+
+    A router hears its peer no more. One that reaches the store names it for
+    less than 7 s, one that is cut off from both for longer.
+    """
+
+    @run_async
+    async def check() -> None:
+        store = filled_store()
+        async with HttpServer('127.0.0.1:0', store) as server:
+            address = f'127.0.0.1:{server.port}'
+            async with open_router(address, 'r1') as first:
+                seeds = (first.gateway.settings.heartbeat_address,)
+                await until(lambda: first.version == 7)
+                async with open_router(address, 'r2', seeds):
+                    await until(
+                        lambda: len(first.gateway.caller_addresses('a')) == 2
+                    )
+                if not is_store_reached:
+                    store.fault = StoreFault.BUSY
+                state = first.gateway.state
+                state.clock = lambda: boottime_seconds() + 6.9
+                if is_store_reached:
+                    calls_count = store.called_paths.count('/rows-feed')
+                    await until(
+                        lambda: (
+                            store.called_paths.count('/rows-feed')
+                            >= calls_count + 2
+                        )
+                    )
+                    await until(
+                        lambda: state.has_source_responded(state.clock())
+                    )
+                names = first.gateway.caller_addresses('a')
+                assert len(names) == (1 if is_store_reached else 2)
+
+    check()
+
+
+@run_async
+async def test_a_router_without_peers_calls_the_store_more_often() -> None:
+    """Guards against a router that takes itself for cut off from the store.
+
+    It waits as long as a router of a large fleet when all others end. Until
+    the store answers, it would go on naming them.
+    """
+    store = filled_store()
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            state: Any = router.gateway.state
+            live = state.peers.live
+            many = [router.gateway._identity_heartbeat()] * 35
+            state.peers.live = lambda now_seconds: many
+            state.rng.uniform = lambda low, high: high
+            await until(lambda: store.called_paths.count('/rows-feed') == 2)
+            state.peers.live = live
+            watch = router.watcher.abort_outdated_polls
+            await curio.spawn(watch, daemon=True)
+            async with curio.timeout_after(5):
+                await until(lambda: store.called_paths.count('/rows-feed') == 4)
+
+
 @run_async
 async def test_routers_without_seeds_discover_each_other() -> None:
     """Guards against a fleet that is split after all seeds were replaced.
