--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -209,7 +209,10 @@
         :param failure_domain: of the caller; routers in it come first.
         """
         now_seconds = self.state.clock()
-        peers = self.state.peers.advertised(now_seconds)
+        peers = self.state.peers.advertised(
+            now_seconds,
+            is_source_reached=self.state.has_source_responded(now_seconds),
+        )
         routers = [self._identity_heartbeat(), *peers]
         flooded = flooded_routers(self.state.request_rates(now_seconds))
         advertised_routers = [
@@ -412,6 +415,7 @@
 
     async def _decide(self) -> None:
         self.state.expire_targets()
+        self.state.expire_evacuations()
         if self.state.decide_crash_causes():
             self._rounds.on_news(self.state.clock())
 
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -19,8 +19,10 @@
 from dotterelhatch.jsonmodel import InvalidDocumentError, JsonModel
 from dotterelhatch.platform.documents import (
     configuration_version,
+    decode_evacuations,
     decode_routing_table,
     decode_targets,
+    operator_row_identity,
     server_start,
 )
 from dotterelhatch.platform.mirror import RowRules, TableMirror
@@ -143,7 +145,8 @@
         self._watches: list[_WatchState] = []
         self._mirrors = {
             _OPERATOR_TABLE: TableMirror(
-                _OPERATOR_TABLE, RowRules(revision_of=configuration_version)
+                _OPERATOR_TABLE,
+                RowRules(configuration_version, operator_row_identity),
             ),
             _SERVER_TABLE: TableMirror(
                 _SERVER_TABLE, RowRules(identity_of=server_start)
@@ -163,19 +166,24 @@
         await self._watch_table(self._mirrors[_SERVER_TABLE])
 
     async def abort_outdated_polls(self) -> None:
-        """Call the store again once the process runs after a suspension.
+        """Call the store again after a suspension or the loss of all peers.
 
         A call that waits for changes since before it is answered only by the
-        next change.
+        next change, or after a wait that relies on the calls of the peers.
         """
         while True:
             await curio.sleep(_SUSPENSION_CHECK_SECONDS)
-            resumed_seconds = self._gateway.state.confirmations.resumed_seconds
             for table_watch in self._watches:
-                poll = table_watch.poll
-                if poll and poll.called_seconds < resumed_seconds:
+                if table_watch.poll and self._is_outdated(table_watch.poll):
                     await _abort_poll(table_watch)
 
+    def _is_outdated(self, poll: '_Poll') -> bool:
+        state = self._gateway.state
+        if poll.called_seconds < state.confirmations.resumed_seconds:
+            return True
+        relies_on_peers = poll.wait_seconds > _MIN_LONG_POLL_SECONDS
+        return relies_on_peers and not state.peers.live(state.clock())
+
     async def _watch_table(self, mirror: TableMirror) -> None:
         table_watch = _WatchState(mirror)
         self._watches.append(table_watch)
@@ -291,7 +299,7 @@
         if table_watch.outage or state.confirmations.needs(name):
             wait_seconds = 0
         task = await curio.current_task()
-        table_watch.poll = _Poll(task, state.clock())
+        table_watch.poll = _Poll(task, state.clock(), wait_seconds)
         try:
             page = await self._store.read_changes(name, since, wait_seconds)
             await curio.check_cancellation()
@@ -353,18 +361,26 @@
 
     async def _apply_config(self, snapshot: Snapshot) -> None:
         state = self._gateway.state
-        ignored_rows = state.metrics.ignored_rows.labels(_OPERATOR_TABLE)
-        for row in self._restore_if_newer(snapshot).rows:
+        mirror = self._restore_if_newer(snapshot)
+        # Before the table, so that a router that starts uses no target of an
+        # evacuated domain.
+        domains, ignored_count = decode_evacuations(mirror.rows)
+        state.apply_evacuations(domains, mirror.era)
+        for row in mirror.rows:
             if row.key != _CONFIG_KEY or row.content is None:
                 continue
             try:
                 table = decode_routing_table(row.content)
             except InvalidDocumentError as error:
-                ignored_rows.set(1)
+                ignored_count += 1
                 _LOGGER.error('configuration not applied: %s', error)
                 continue
-            ignored_rows.set(0)
             self._apply_newer_table(table)
+        state.metrics.ignored_rows.labels(_OPERATOR_TABLE).set(ignored_count)
+        if mirror.point > snapshot.point:
+            # Only some rows of a former era were taken. Peers that follow this
+            # router need the others too.
+            await self._gateway.snapshot_store.put_if_newer(mirror.snapshot())
 
     def _apply_newer_table(self, table: RoutingTable) -> None:
         """Apply a table, unless the operator wrote a newer one before."""
@@ -444,6 +460,7 @@
 
     task: Any
     called_seconds: float
+    wait_seconds: float
 
 
 @dataclass
