Limit the requests to cold targets over all routers

A cold target tolerates few requests a second, and routers can't agree on them within that second. Each cold target gets a few owners by rendezvous hashing, which send in equal intervals; their rate is scaled by the share of the known routers that they hear, so that the parts of a split fleet stay below the bound together.

--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -35,6 +35,7 @@
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.core.targetpauses import TargetPauses
+from dotterelhatch.core.warmup import WarmupLimits
 from dotterelhatch.ids import FailureDomain, ServiceId, TargetId
 
 __all__ = (
@@ -178,6 +179,7 @@
     :param limits: request rates that targets take.
     :param rng: random generator for ties between targets and for the jitter
         of retry times.
+    :param warmup: request rates that cold targets take, None for no limit.
     """
 
     def __init__(
@@ -188,6 +190,7 @@
         health: TargetHealth,
         limits: TargetLimits,
         rng: random.Random,
+        warmup: WarmupLimits | None = None,
     ) -> None:
         """Create a balancer without measurements."""
         self.cache = PrefixCacheEstimate(settings.max_prefixes_count)
@@ -198,9 +201,10 @@
         self._health = health
         self._limits = limits
         self._rng = rng
+        self._warmup = warmup or WarmupLimits.without_limits()
         self._plain_seconds = _INITIAL_PLAIN_SECONDS
         self._selector = CandidateSelector(
-            registry, self.cache, self.pauses, rng
+            registry, self.cache, self.pauses, rng, self._warmup
         )
 
     def place(
@@ -233,6 +237,7 @@
         if isinstance(chosen, Placement):
             self._limits.on_placed(chosen.entry, now_seconds)
             self.pauses.on_placed(chosen.entry, now_seconds)
+            self._warmup.on_placed(chosen.entry, now_seconds)
         return chosen
 
     def has_untried_target(
@@ -241,10 +246,11 @@
         tried: Collection[TargetId],
         now_seconds: float,
     ) -> bool:
-        """Return whether a target that is not paused can still be tried."""
+        """Return whether a target that may get requests can still be tried."""
         return any(
             entry.id not in tried
             and not self.pauses.wait_seconds(entry, now_seconds)
+            and not self._warmup.wait_seconds(entry, now_seconds)
             for entry in self._registry.ready(service)
         )
 
@@ -295,6 +301,8 @@
                 excluded,
                 now_seconds,
             )
+            # The owners of cold targets differ from router to router.
+            usable = self._warmup.warm_first(usable, now_seconds)
             return rendezvous(request.isolation_key, usable)[:1]
         if request.prompt is not None:
             selected = self._selector.select(
@@ -325,6 +333,7 @@
         """Return whether neither a pause nor a limit excludes a target."""
         return not (
             self.pauses.wait_seconds(entry, now_seconds)
+            or self._warmup.wait_seconds(entry, now_seconds)
             or self._limit_wait_seconds(request, entry, now_seconds)
         )
 
@@ -346,12 +355,17 @@
         if rejection is not None:
             return rejection
         waits_seconds = [
-            self._limit_wait_seconds(request, entry, now_seconds)
+            max(
+                self._limit_wait_seconds(request, entry, now_seconds),
+                self._warmup.wait_seconds(entry, now_seconds),
+            )
             for entry in self._registry.ready(request.service.id)
             if entry.id not in excluded
             and not self.pauses.wait_seconds(entry, now_seconds)
         ]
-        reason = 'target_limits' if waits_seconds else Rejection.NO_TARGET
+        reason = Rejection.NO_TARGET
+        if waits_seconds:
+            reason = self._limit_reason(request, now_seconds)
         wait_seconds = min(waits_seconds, default=_MIN_RETRY_AFTER_SECONDS)
         wait_seconds = min(wait_seconds, _MAX_LIMIT_RETRY_AFTER_SECONDS)
         return Rejection(
@@ -359,6 +373,15 @@
             self._add_jitter(max(wait_seconds, _MIN_RETRY_AFTER_SECONDS)),
         )
 
+    def _limit_reason(
+        self, request: PlacementRequest, now_seconds: float
+    ) -> str:
+        """Return why no target may get a request now."""
+        ready = self._registry.ready(request.service.id)
+        if any(self._warmup.is_cold(entry, now_seconds) for entry in ready):
+            return 'targets_cold'
+        return 'target_limits'
+
     def _usable(
         self,
         request: PlacementRequest,
@@ -393,15 +416,16 @@
         load = self._loads.total(entry.id)
         slots = max(1, entry.slots_count)
         queued_count = max(0, load.requests_count + 1 - slots)
-        wait_seconds = queued_count * self._plain_seconds / slots
+        plain_seconds = self._plain_seconds * self._warmup.time_ratio(entry.id)
+        wait_seconds = queued_count * plain_seconds / slots
         slots_utilisation = load.requests_count / slots
-        score = wait_seconds + slots_utilisation * self._plain_seconds
+        score = wait_seconds + slots_utilisation * plain_seconds
         score += self._penalty_seconds(entry)
         placement = Placement(
             entry,
             TargetLoad(requests_count=1),
             wait_seconds,
-            wait_seconds + self._plain_seconds,
+            wait_seconds + plain_seconds,
             0,
         )
         return _Candidate(score, placement)
@@ -470,6 +494,7 @@
 
     def _wait_seconds(self, entry: TargetEntry) -> float:
         rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
+        rate /= self._warmup.time_ratio(entry.id)
         return self._loads.total(entry.id).unread_tokens / rate
 
     def _limit_seconds(
@@ -515,6 +540,7 @@
         load = self._loads.total(entry.id)
         unread_tokens = max(0, prompt.input_tokens - cached_tokens)
         rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
+        rate /= self._warmup.time_ratio(entry.id)
         wait_seconds = load.unread_tokens / rate
         if load.requests_count >= engine.slots_count:
             wait_seconds += _CAPACITY_PENALTY_SECONDS
--- a/src/dotterelhatch/core/candidates.py
+++ b/src/dotterelhatch/core/candidates.py
@@ -14,6 +14,7 @@
 from dotterelhatch.core.prompts import PrefixCacheEstimate, Prompt
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
 from dotterelhatch.core.targetpauses import TargetPauses
+from dotterelhatch.core.warmup import WarmupLimits
 from dotterelhatch.ids import ServiceId, TargetId
 
 __all__ = (
@@ -32,7 +33,8 @@
 # the same loads, one heartbeat late: with a large sample, all of them would
 # send to the few least loaded targets until the next heartbeat.
 _SAMPLE_COUNT: Final = 3
-# Targets looked at for a sample, in which paused ones come last.
+# Targets looked at for a sample, in which paused ones and those that are cold
+# come last.
 _MAX_DRAWN_COUNT: Final = 32
 _CACHING_COUNT: Final = 6
 # About the time between two requests at one router, so that each request gets
@@ -78,6 +80,7 @@
     :param cache: estimate of the prefixes that targets have cached.
     :param pauses: targets that want no requests for a while.
     :param rng: random generator for the samples.
+    :param warmup: targets that are cold, None if none is limited for that.
     """
 
     def __init__(
@@ -86,12 +89,14 @@
         cache: PrefixCacheEstimate,
         pauses: TargetPauses,
         rng: random.Random,
+        warmup: WarmupLimits | None = None,
     ) -> None:
         """Create a selector without cached selections."""
         self._registry = registry
         self._cache = cache
         self._pauses = pauses
         self._rng = rng
+        self._warmup = warmup
         self._states: dict[ServiceId, _ServiceState] = {}
 
     def preferred(
@@ -142,10 +147,11 @@
         """Return the next targets of a random order in which all have a turn.
 
         An idle target is thus compared within a short time, at any router.
-        Paused targets are included only if there are few others.
+        Targets that may get no request now are included only if there are few
+        others.
         """
         usable: list[TargetEntry] = []
-        paused: list[TargetEntry] = []
+        waiting: list[TargetEntry] = []
         for _ in range(_MAX_DRAWN_COUNT):
             if len(usable) == _SAMPLE_COUNT:
                 break
@@ -154,9 +160,17 @@
                     state.entries, len(state.entries)
                 )
             entry = state.undrawn.pop()
-            is_paused = self._pauses.wait_seconds(entry, now_seconds) > 0
-            (paused if is_paused else usable).append(entry)
-        return (*usable, *paused)[:_SAMPLE_COUNT]
+            is_waiting = self._has_to_wait(entry, now_seconds)
+            (waiting if is_waiting else usable).append(entry)
+        return (*usable, *waiting)[:_SAMPLE_COUNT]
+
+    def _has_to_wait(self, entry: TargetEntry, now_seconds: float) -> bool:
+        if self._pauses.wait_seconds(entry, now_seconds):
+            return True
+        warmup = self._warmup
+        return (
+            warmup is not None and warmup.wait_seconds(entry, now_seconds) > 0
+        )
 
 
 def rendezvous(
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -3,7 +3,7 @@
 import enum
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from dotterelhatch.ids import FailureDomain, ServiceId, TargetId
@@ -32,6 +32,9 @@
 
     :param started_ms: Unix time of its start, which distinguishes the
         incarnations of a target.
+    :param cold_left_seconds: how much longer the target stays cold, when the
+        row was written. It counts down, so it does not make entries differ.
+    :param row_version: distinguishes the rows of one start.
     """
 
     id: TargetId
@@ -41,6 +44,8 @@
     state: TargetState
     slots_count: int
     started_ms: int = 0
+    cold_left_seconds: float = field(default=0, compare=False)
+    row_version: int = field(default=0, compare=False)
 
 
 class TargetRegistry:
--- a/src/dotterelhatch/core/routes.py
+++ b/src/dotterelhatch/core/routes.py
@@ -16,6 +16,7 @@
     'RoutingTable',
     'ServiceShare',
     'ServiceSpec',
+    'WarmupSpec',
 )
 
 
@@ -86,15 +87,29 @@
     memory_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class WarmupSpec:
+    """What the targets of a service tolerate while they are cold.
+
+    :param duration_seconds: how long a target is cold after a start.
+    :param requests_per_second: from all routers together.
+    """
+
+    duration_seconds: float
+    requests_per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
     """A service that requests are routed to.
 
     :param engine: None for a plain service, one without model engines.
+    :param warmup: None if cold targets take as many requests as others.
     """
 
     id: ServiceId
     engine: EngineSpec | None = None
+    warmup: WarmupSpec | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -301,6 +301,7 @@
             kept_tokens=chosen.cached_tokens,
             **_admission_facts(placement_request, self._routed),
             **self._suspicion_facts(),
+            **self._cold_facts(chosen, now_seconds),
             attempt=self._request.history.sends_count + 1,
             table_version=state.table.version if state.table else None,
         )
@@ -369,6 +370,12 @@
             'held_ms': round(self._held_seconds * 1000),
         }
 
+    def _cold_facts(
+        self, placement: Placement, now_seconds: float
+    ) -> dict[str, Any]:
+        is_cold = self._state.warmup.is_cold(placement.entry, now_seconds)
+        return {'is_cold': True} if is_cold else {}
+
     async def _run_attempt(
         self, placement: Placement, relay: Relay
     ) -> _NextStep:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -308,6 +308,7 @@
         now_seconds = state.clock()
         if not state.peers.on_heartbeat(heartbeat, now_seconds):
             return
+        state.warmup.split.on_heartbeat(heartbeat.router, now_seconds)
         if heartbeat.is_source_seen and not state.confirmations.is_complete:
             state.confirmations.on_peer(
                 self.snapshot_store.complete(heartbeat.documents),
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -47,6 +47,7 @@
     TARGET_LIMIT_CHANGED = 'target_limit_changed'
     TARGET_LEAVING = 'target_leaving'
     TARGET_PAUSED = 'target_paused'
+    TARGET_COLD = 'target_cold'
     CRASH_CAUSE_REJECTED = 'crash_cause_rejected'
     CRASH_CAUSE_TRIED = 'crash_cause_tried'
     CRASH_CAUSE_CLEARED = 'crash_cause_cleared'
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -134,6 +134,18 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.cold_targets = Gauge(
+            'cold_targets',
+            'Targets that are cold and get few requests.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.cold_placements = Gauge(
+            'cold_placements',
+            'Requests that this router has placed on cold targets.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.unusable_targets = Gauge(
             'unusable_targets',
             'Targets listed as ready that leave or have lost their address.',
--- a/src/dotterelhatch/gateway/settings.py
+++ b/src/dotterelhatch/gateway/settings.py
@@ -5,7 +5,12 @@
 from dotterelhatch.fleet import Address, FrozenModel
 from dotterelhatch.ids import FailureDomain, RouterId
 
-__all__ = ('GatewaySettings', 'LeavingSettings', 'RetryBudgetSettings')
+__all__ = (
+    'GatewaySettings',
+    'LeavingSettings',
+    'RetryBudgetSettings',
+    'WarmupSettings',
+)
 
 
 class RetryBudgetSettings(FrozenModel):
@@ -33,6 +38,20 @@
     limit_seconds: float = Field(default=8.0, gt=0, le=600)
 
 
+class WarmupSettings(FrozenModel):
+    """How far requests to a cold target may exceed the rate it tolerates.
+
+    They apply to the services whose configuration names such a rate.
+
+    :param overshoot_ratio: allowed requests in a second per request of the
+        rate.
+    :param slack_count: allowed requests in a second beyond the ratio.
+    """
+
+    overshoot_ratio: float = Field(default=1.0, ge=1, le=1000)
+    slack_count: float = Field(default=0.0, ge=0)
+
+
 class GatewaySettings(FrozenModel):
     """Settings of a gateway process.
 
@@ -47,6 +66,7 @@
     :param target_departure_seconds: time after which a target that has left
         must get no requests.
     :param repeats: budget of retries to targets.
+    :param warmup: bound of the requests to cold targets.
     """
 
     router_id: RouterId
@@ -64,6 +84,7 @@
     target_departure_seconds: float = Field(default=2.0, gt=0)
     repeats: RetryBudgetSettings = RetryBudgetSettings()
     leaving: LeavingSettings = LeavingSettings()
+    warmup: WarmupSettings = WarmupSettings()
     log_level: str = Field(
         default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
     )
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -41,6 +41,7 @@
 from dotterelhatch.core.routes import RoutingTable, ServiceSpec
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
+from dotterelhatch.core.warmup import FleetSplit, WarmupBounds, WarmupLimits
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.gateway.loadreport import LoadReport
@@ -107,6 +108,15 @@
         self.target_limits = TargetLimits(
             settings.router_id, self._sharing_rates
         )
+        self.warmup = WarmupLimits(
+            settings.router_id,
+            FleetSplit(
+                settings.router_id,
+                clock(),
+                lambda: len(self.peers.addresses(self.clock())),
+            ),
+            _warmup_bounds(settings),
+        )
         self.balancer = Balancer(
             BalancerSettings(
                 settings.failure_domain, _max_prefixes_count(settings)
@@ -116,10 +126,17 @@
             self.health,
             self.target_limits,
             rng,
+            self.warmup,
         )
         self.metrics.paused_targets.set_function(
             lambda: self.balancer.pauses.paused_count(self.clock())
         )
+        self.metrics.cold_targets.set_function(
+            lambda: self.warmup.cold_count(self.clock())
+        )
+        self.metrics.cold_placements.set_function(
+            lambda: self.warmup.placed_count
+        )
         self.metrics.unusable_targets.set_function(
             lambda: self.registry.unusable_count
         )
@@ -190,6 +207,7 @@
         """Apply the settings that can change in a running process."""
         self.settings = settings
         self.retry_budget.settings = _retry_budget_settings(settings)
+        self.warmup.apply_bounds(_warmup_bounds(settings))
         self.peers.add_addresses(settings.seed_addresses, self.clock())
 
     def count_arrival(self) -> bool:
@@ -447,6 +465,7 @@
         if known is not None and known.version >= table.version:
             return
         self.table = table
+        self.warmup.apply_services(table.services)
         self.durations.retain(frozenset(route.name for route in table.routes))
         log_decision(
             Decision.TABLE_CHANGED,
@@ -466,8 +485,11 @@
             entries may have expired, None if there was none.
         """
         formerly_lapsed = self.registry.lapsed
+        listed = tuple(entries)
+        # Before the registry offers the entries to requests.
+        self._log_cold(self.warmup.on_entries(listed, self.clock()))
         changed = self.registry.apply(
-            entries, self.clock(), regained_seconds=regained_seconds
+            listed, self.clock(), regained_seconds=regained_seconds
         )
         self._log_lapsed(formerly_lapsed, regained_seconds)
         self._on_targets_changed(changed)
@@ -478,6 +500,24 @@
             self.registry.expire(self.clock()), is_grace_over=True
         )
 
+    def _log_cold(self, entries: Iterable[TargetEntry]) -> None:
+        now_seconds = self.clock()
+        for entry in entries:
+            view = self.warmup.split.view(now_seconds)
+            rate = self.warmup.rate_per_second(entry, now_seconds)
+            log_decision(
+                Decision.TARGET_COLD,
+                target=entry.id,
+                service=entry.service,
+                started_ms=entry.started_ms,
+                cold_left_ms=round(
+                    entry.cold_left_seconds * _MILLISECONDS_PER_SECOND
+                ),
+                rate_per_second=round(rate, 2),
+                routers_count=len(view.routers),
+                heard_share=round(view.share, 2),
+            )
+
     def _log_lapsed(
         self,
         formerly_lapsed: frozenset[TargetId],
@@ -516,6 +556,7 @@
                 self.target_limits.forget(entry.id)
             if not self.registry.is_known(entry.id):
                 self.balancer.cache.reset(entry.id)
+                self.warmup.forget(entry.id)
             if entry.state is TargetState.READY:
                 self.health.reset(entry.id)
                 self.balancer.cache.reset(entry.id)
@@ -535,6 +576,13 @@
     return int(max_bytes / CACHED_PREFIX_BYTES)
 
 
+def _warmup_bounds(settings: GatewaySettings) -> WarmupBounds:
+    return WarmupBounds(
+        overshoot_ratio=settings.warmup.overshoot_ratio,
+        slack_count=settings.warmup.slack_count,
+    )
+
+
 def _retry_budget_settings(settings: GatewaySettings) -> FleetRetrySettings:
     return FleetRetrySettings(
         window_seconds=settings.repeats.window_seconds,
--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -17,6 +17,7 @@
     RoutingTable,
     ServiceShare,
     ServiceSpec,
+    WarmupSpec,
 )
 from dotterelhatch.fleet import RemoteAddress
 from dotterelhatch.ids import (
@@ -45,6 +46,8 @@
 # In the year 33658; the start time is passed on in heartbeats.
 _MAX_START_MS: Final = 10**15
 _MAX_SLOTS_COUNT: Final = 1_000_000
+# A row with a wrong unit would keep its server limited for days.
+_MAX_COLD_SECONDS: Final = 3600.0
 # The id of a server is sent to it in a header.
 _ID_PATTERN: Final = re.compile('[!-~]{1,200}')
 _STATES: Final = {
@@ -160,6 +163,8 @@
 class _Service(JsonModel):
     name: str
     engine: _Engine | None = None
+    warmup_s: _Number | None = Field(alias='warmup-s', default=None)
+    cold_per_s: _Number | None = Field(alias='cold-per-s', default=None)
 
 
 class _Limits(JsonModel):
@@ -224,7 +229,16 @@
             slots_count=int(entry.engine.slots),
             memory_tokens=int(entry.engine.memory_tokens),
         )
-    return ServiceSpec(ServiceId(entry.name), spec)
+    return ServiceSpec(ServiceId(entry.name), spec, _warmup(entry))
+
+
+def _warmup(entry: _Service) -> WarmupSpec | None:
+    if not entry.cold_per_s:
+        return None
+    return WarmupSpec(
+        duration_seconds=entry.warmup_s or 0,
+        requests_per_second=entry.cold_per_s,
+    )
 
 
 def _limits(entry: _Limits) -> RequestLimits:
@@ -259,4 +273,12 @@
         state=_STATES[server.state],
         slots_count=server.slots,
         started_ms=server.born,
+        cold_left_seconds=_cold_seconds(server.cold_left_ms),
+        row_version=row.version,
+    )
+
+
+def _cold_seconds(cold_left_ms: float) -> float:
+    return min(
+        _MAX_COLD_SECONDS, max(0, cold_left_ms / _MILLISECONDS_PER_SECOND)
     )
--- a/src/dotterelhatch/platform/settings.py
+++ b/src/dotterelhatch/platform/settings.py
@@ -13,6 +13,7 @@
     GatewaySettings,
     LeavingSettings,
     RetryBudgetSettings,
+    WarmupSettings,
 )
 from dotterelhatch.ids import FailureDomain, RouterId
 
@@ -74,6 +75,11 @@
     budget_slack: _Number = Field(alias='budget-slack', default=20)
     quota_window_s: _Seconds = Field(alias='quota-window-s', default=4)
     ttl_max_s: _Seconds = 5
+    # A cold server takes less than its rate only by a mistake in the file.
+    cold_overshoot: float = Field(
+        alias='cold-overshoot', default=1, ge=1, le=1000
+    )
+    cold_slack: _Number = Field(alias='cold-slack', default=0)
 
 
 class _Platform(_TomlTable):
@@ -201,6 +207,10 @@
             address_ttl_seconds=bounds.ttl_max_s * _CALLER_TTL_RATIO,
             limit_seconds=bounds.grace_s,
         ),
+        warmup=WarmupSettings(
+            overshoot_ratio=bounds.cold_overshoot,
+            slack_count=bounds.cold_slack,
+        ),
     )
 
 
