--- a/src/dotterelhatch/core/warmup.py
+++ b/src/dotterelhatch/core/warmup.py
@@ -54,7 +54,10 @@
 _MEMORY_SECONDS: Final = 3600.0
 # Several times the routers of the largest deployment.
 _MAX_KNOWN_COUNT: Final = 4096
-_VIEW_LIFETIME_SECONDS: Final = 0.1
+# A view changes with the heartbeats. Each change costs a hash of all routers for
+# each cold target.
+_MIN_VIEW_LIFETIME_SECONDS: Final = 0.1
+_VIEW_LIFETIME_INTERVALS: Final = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +141,10 @@
             # Users of the same object need not hash the routers again.
             if view != self._view:
                 self._view = view
-            self._view_until_seconds = now_seconds + _VIEW_LIFETIME_SECONDS
+            self._view_until_seconds = now_seconds + max(
+                _MIN_VIEW_LIFETIME_SECONDS,
+                _VIEW_LIFETIME_INTERVALS * self._interval_seconds(),
+            )
         return self._view
 
     def _find_view(self, now_seconds: float) -> FleetView:
@@ -214,7 +220,7 @@
     started_ms: int
     until_seconds: float
     sent_seconds: float
-    left_ratio: float = 1.0
+    left_ratio: float = 0.0
     view: FleetView | None = None
     rate_per_second: float = 0.0
 
@@ -407,6 +413,8 @@
         owners_count = int(rate / _MIN_OWNER_RATE_PER_SECOND)
         if not owners_count and 2 * view.share > 1:
             owners_count = 1
+        if not owners_count:
+            return 0
         owners = owners_of(entry.id, view.routers, owners_count)
         return rate / owners_count if self._router in owners else 0
 
