--- a/src/dotterelhatch/core/warmup.py
+++ b/src/dotterelhatch/core/warmup.py
@@ -54,8 +54,8 @@
 _MEMORY_SECONDS: Final = 3600.0
 # Several times the routers of the largest deployment.
 _MAX_KNOWN_COUNT: Final = 4096
-# A view changes with the heartbeats. Each change costs a hash of all routers for
-# each cold target.
+# A view changes with the heartbeats. Each change costs a hash of all routers
+# for each cold target.
 _MIN_VIEW_LIFETIME_SECONDS: Final = 0.1
 _VIEW_LIFETIME_INTERVALS: Final = 0.25
 
