--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -48,6 +48,7 @@
     TARGET_LEAVING = 'target_leaving'
     TARGET_PAUSED = 'target_paused'
     EVACUATION_CHANGED = 'evacuation_changed'
+    TARGET_COLD = 'target_cold'
     CRASH_CAUSE_REJECTED = 'crash_cause_rejected'
     CRASH_CAUSE_TRIED = 'crash_cause_tried'
     CRASH_CAUSE_CLEARED = 'crash_cause_cleared'
