--- a/src/dotterelhatch/core/warmup.py
+++ b/src/dotterelhatch/core/warmup.py
@@ -207,6 +207,18 @@
     version: int
     cold_left_seconds: float
 
+    def repeats(self, former: '_Row') -> bool:
+        """Return whether the row says nothing that the former did not say.
+
+        Rows that are kept after the store came back from an older copy have
+        lower versions.
+        """
+        if self.started_ms != former.started_ms:
+            return False
+        if self.version < former.version:
+            return self.cold_left_seconds == former.cold_left_seconds
+        return self.version == former.version
+
 
 @dataclass(slots=True)
 class _ColdTarget:
@@ -278,9 +290,7 @@
         return [
             entry
             for entry in entries
-            if self._is_news(entry)
-            and self._apply(entry, now_seconds)
-            and entry.service in self._specs
+            if self._apply(entry, now_seconds) and entry.service in self._specs
         ]
 
     def wait_seconds(self, entry: TargetEntry, now_seconds: float) -> float:
@@ -354,22 +364,15 @@
         for cold in self._cold.values():
             cold.view = None
 
-    def _is_news(self, entry: TargetEntry) -> bool:
-        known = self._rows.get(entry.id)
-        if known is None or known.started_ms != entry.started_ms:
-            return True
-        if entry.row_version < known.version:
-            # Rows that are kept after the store came back from an older copy
-            # have lower versions.
-            return entry.cold_left_seconds != known.cold_left_seconds
-        return entry.row_version > known.version
-
     def _apply(self, entry: TargetEntry, now_seconds: float) -> bool:
         """Apply a row; return whether the target has become cold."""
-        row = self._rows.get(entry.id)
-        is_same_start = row is not None and row.started_ms == entry.started_ms
-        self._rows[entry.id] = _Row(
-            entry.started_ms, entry.row_version, entry.cold_left_seconds
+        former = self._rows.get(entry.id)
+        row = _Row(entry.started_ms, entry.row_version, entry.cold_left_seconds)
+        self._rows[entry.id] = row
+        if former is not None and row.repeats(former):
+            return False
+        is_same_start = (
+            former is not None and former.started_ms == row.started_ms
         )
         if entry.cold_left_seconds <= 0:
             self._cold.pop(entry.id, None)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -42,7 +42,7 @@
     MODEL,
     PLAIN,
     gateway_settings,
-    open_gateway,
+    open_fleet,
     route,
     routing_table,
     run_async,
@@ -53,6 +53,9 @@
 SPEC = WarmupSpec(duration_seconds=3.0, requests_per_second=15.0)
 BOUNDS = WarmupBounds(overshoot_ratio=1.5, slack_count=5)
 ALLOWED_COUNT = 27
+REQUESTS_COUNT = 100
+# Until routers on one host have heard each other and their views have settled.
+START_SECONDS = 4.0
 PROMPT = Prompt((PromptPart('aa', 600), PromptPart('bb', 300)), 900, 80)
 SERVICES = {
     MODEL: ServiceSpec(MODEL, EngineSpec(64, 300_000), SPEC),
@@ -321,7 +324,8 @@
     assert state.warmup.cold_count(50.0) == 0
 
 
-def test_a_gateway_sends_a_cold_server_few_requests() -> None:
+@pytest.mark.parametrize('routers_count', [1, 3])
+def test_gateways_send_cold_servers_few_requests(routers_count: int) -> None:
     """Guards against requests and retries that reach a server beside the limit.
 
     All servers are cold, and callers ask for far more than the bound; what is
@@ -331,20 +335,26 @@
     @run_async
     async def run() -> None:
         servers = [ServerStandIn('i-1'), ServerStandIn('i-2')]
-        table = routing_table(services=SERVICES)
-        async with open_gateway(
-            *((PLAIN, server) for server in servers), table=table
-        ) as fixture:
-            state = fixture.gateway.state
-            # A router that has just started uses no cold target.
-            await curio.sleep(2.1)
-            cold = [_cold(one, 3, 2) for one in state.registry.ready(PLAIN)]
-            state.apply_targets(cold, None)
+        async with open_fleet(
+            *((PLAIN, server) for server in servers),
+            table=routing_table(services=SERVICES),
+            routers_count=routers_count,
+        ) as routers:
+            # Routers that have just started use no cold target.
+            await curio.sleep(START_SECONDS)
+            for router in routers:
+                state = router.gateway.state
+                cold = [_cold(one, 3, 2) for one in state.registry.ready(PLAIN)]
+                state.apply_targets(cold, None)
+                view = state.warmup.split.view(state.clock())
+                assert len(view.routers) == routers_count
+                assert view.share == 1
             tasks = []
-            for number in range(100):
+            for number in range(REQUESTS_COUNT):
+                router = routers[number % routers_count]
                 tasks.append(
                     await curio.spawn(
-                        fixture.call, f'/lookup/{number}', f'r{number}'
+                        router.call, f'/lookup/{number}', f'r{number}'
                     )
                 )
                 await curio.sleep(0.01)
@@ -353,7 +363,7 @@
             assert 0 < len(server.executed_ids) <= ALLOWED_COUNT
         statuses = [response.status for response in responses]
         assert set(statuses) == {200, 429}
-        assert statuses.count(200) == len(fixture.runs)
+        assert statuses.count(200) == len(routers[0].runs)
         rejected = next(one for one in responses if one.status == 429)
         headers = {name.lower(): text for name, text in rejected.headers}
         assert float(headers['retry-after']) > 0
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -79,6 +79,11 @@
         self.entries = entries
         # Routers with the same number hear each other.
         self.parts = [0] * count
+        # Whether routers with a lower number also hear those with a higher one.
+        self.is_one_way = False
+        self.loss_ratio = 0.0
+        # Part of the steps in which a router has a request.
+        self.demand_ratio = 1.0
         self.down: set[int] = set()
         self._rng = random.Random(count)
         self._seeds_count = min(seeds_count, count - 1)
@@ -139,11 +144,20 @@
             for other, router in enumerate(self.routers):
                 if other == number or other in self.down:
                     continue
-                if self.parts[other] == self.parts[number]:
+                if self._is_heard(number, other):
                     router.split.on_heartbeat(sender, self.now_seconds)
 
+    def _is_heard(self, sender: int, receiver: int) -> bool:
+        if self.loss_ratio and self._rng.random() < self.loss_ratio:
+            return False
+        if self.is_one_way and self.parts[receiver] < self.parts[sender]:
+            return True
+        return self.parts[receiver] == self.parts[sender]
+
     def _send_all(self, router: WarmupLimits) -> None:
         for entry in self.entries:
+            if self._rng.random() >= self.demand_ratio:
+                continue
             if router.wait_seconds(entry, self.now_seconds) <= 0:
                 router.on_placed(entry, self.now_seconds)
                 self.sent[entry.id].append(self.now_seconds)
@@ -269,6 +283,56 @@
     assert 0 < fleet.max_window_count() <= ALLOWED_COUNT
 
 
+@pytest.mark.parametrize('count', [4, 36, 63])
+def test_bound_holds_while_links_work_in_one_direction(count: int) -> None:
+    """Guards against owners that the other half doesn't know of."""
+    fleet = _always_cold_fleet(count)
+    fleet.run(SETTLED_SECONDS)
+    fleet.parts = [number % 2 for number in range(count)]
+    fleet.is_one_way = True
+    fleet.run(70)
+    fleet.parts = [min(number, 1) for number in range(count)]
+    fleet.run(SETTLED_SECONDS)
+    fleet.parts = [1 - min(number, 1) for number in range(count)]
+    fleet.run(SETTLED_SECONDS)
+    assert fleet.max_window_count() <= ALLOWED_COUNT
+
+
+@pytest.mark.parametrize('count', [4, 36, 63])
+def test_lost_heartbeats_leave_most_of_the_rate(count: int) -> None:
+    """Guards against views that change with each lost datagram."""
+    fleet = _always_cold_fleet(count)
+    fleet.loss_ratio = 0.1
+    fleet.run(2 * SETTLED_SECONDS)
+    assert fleet.sent_count(fleet.now_seconds - 5) / 5 >= 8
+    assert fleet.max_window_count() <= ALLOWED_COUNT
+
+
+@pytest.mark.parametrize('count', [4, 36, 63])
+def test_bound_holds_when_a_row_reaches_routers_late(count: int) -> None:
+    """Guards against a warm-up that comes on top of the usual requests.
+
+    A target in use becomes cold again, and its row arrives within 0.4 s; until
+    then it gets 20 requests a second as before.
+    """
+    warm = _entry(cold_left_seconds=0)
+    fleet = _Fleet(count, warm)
+    fleet.demand_ratio = 20 * STEP_SECONDS / count
+    fleet.run(SETTLED_SECONDS)
+    fleet.sent = {warm.id: []}
+    waiting = list(fleet.routers)
+    for _ in range(4):
+        fleet.run(0.1)
+        for router in waiting[::4] or waiting[:1]:
+            router.on_entries([_entry(row_version=2)], fleet.now_seconds)
+            waiting.remove(router)
+    for router in waiting:
+        router.on_entries([_entry(row_version=2)], fleet.now_seconds)
+    fleet.demand_ratio = 1.0
+    fleet.run(2.5)
+    assert 5 < fleet.max_window_count() <= ALLOWED_COUNT
+
+
 def test_a_lost_part_of_the_fleet_leaves_most_of_the_rate() -> None:
     """Guards against a cold target that is starved after a loss.
 
@@ -340,11 +404,17 @@
 
 
 def test_a_row_kept_from_a_former_era_does_not_begin_the_warm_up() -> None:
-    """Guards against rows that get lower versions after a restored copy."""
+    """Guards against rows that get lower versions after a restored copy.
+
+    A row that is written after it is news, though its version may be lower
+    than one from before.
+    """
     limits = _limits()
     limits.on_entries([_entry(row_version=7)], 0)
-    assert not limits.on_entries([_entry(row_version=0)], 10)
+    assert not limits.on_entries([_entry(row_version=3)], 10)
     assert limits.wait_seconds(_entry(), 10) == 0
+    again = _entry(row_version=4)
+    assert limits.on_entries([again], 20) == [again]
 
 
 def test_a_target_that_becomes_cold_again_without_restart_is_limited() -> None:
