Learn the speed of targets from the requests of all routers

Waits were predicted with one rate for all engines and with a latency ratio that each router learned alone; a router of many sends too few requests to each target for that. Each router now sums predicted work and measured time by target and utilisation, sends new figures to its peers once a second, and uses the rates where the contract pool is set.

--- a/emulator/patterns.py
+++ b/emulator/patterns.py
@@ -52,6 +52,7 @@
         pauses.
     :param leaving_engines_count: engines that say that they leave; they start
         again at the end of the faults.
+    :param speeds: of the engines in turn, relative to the usual one.
     """
 
     requests_per_second: float = 86.0
@@ -64,6 +65,7 @@
     lost_routers_count: int = 0
     paused_engines_count: int = 0
     leaving_engines_count: int = 0
+    speeds: tuple[float, ...] = (1.0,)
 
 
 PATTERNS: Final[dict[str, Pattern]] = {}
@@ -133,3 +135,9 @@
 def leaving_engine() -> Pattern:
     """Return a pattern with an engine that leaves and starts again."""
     return Pattern(leaving_engines_count=1)
+
+
+@_pattern
+def uneven_engines() -> Pattern:
+    """Return a pattern with engines of three speeds and a burst."""
+    return Pattern(burst_factor=1.5, speeds=(0.6, 1.0, 1.6))
--- a/emulator/policies.py
+++ b/emulator/policies.py
@@ -27,6 +27,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from dotterelhatch.core.speeds import TargetSpeeds
 from dotterelhatch.core.targethealth import AttemptOutcome, TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.ids import (
@@ -187,6 +188,8 @@
 class GatewayPolicy:
     """Policy of the gateway, with its own sans-I/O classes."""
 
+    learns_speeds = False
+
     def __init__(
         self, name: str, engines_count: int, rng: random.Random
     ) -> None:
@@ -202,6 +205,7 @@
         self._health = TargetHealth()
         self._fair_shares = FairShareTracker(4.0)
         self._window = AdmissionWindow()
+        self._speeds = TargetSpeeds(self._registry.find)
         self._balancer = Balancer(
             BalancerSettings(domain),
             self._registry,
@@ -209,8 +213,10 @@
             self._health,
             TargetLimits(RouterId('router'), dict),
             rng,
+            self._speeds if self.learns_speeds else None,
         )
         self._in_flight: list[tuple[InFlightRequest, Placement]] = []
+        self._organisations: list[OrganisationId] = []
         self._sent: list[SentPrompt] = []
 
     def choose(
@@ -233,6 +239,7 @@
         in_flight = self._load_tracker.start(target, chosen.load, now_seconds)
         self._health.on_sent(target, now_seconds)
         self._in_flight.append((in_flight, chosen))
+        self._organisations.append(request.organisation)
         sent = SentPrompt(target, request.prompt.parts, chosen.spare_tokens)
         self._balancer.cache.on_sent(sent)
         self._sent.append(sent)
@@ -246,11 +253,13 @@
         loads: dict[TargetId, TargetLoad] = dict(self._load_tracker.local_loads)
         usages = dict(self._fair_shares.local_usages)
         counts = dict(self._window.local_counts(now_seconds))
+        speeds = self._speeds.report(now_seconds)
         for other in others:
             if isinstance(other, GatewayPolicy):
                 other._load_tracker.on_report(self.name, loads, now_seconds)
                 other._fair_shares.on_report(self.name, usages, now_seconds)
                 other._window.on_report(self.name, counts, now_seconds)
+                other._speeds.on_report(self.name, speeds, now_seconds)
                 for sent in self._sent:
                     other._balancer.cache.on_sent(sent)
         self._sent.clear()
@@ -272,6 +281,14 @@
             placement.expected_seconds,
             now_seconds - in_flight.started_seconds,
         )
+        self._speeds.on_first_event(
+            placement.entry,
+            self._organisations[request_index],
+            placement.queued_tokens + placement.load.unread_tokens,
+            placement.running_count,
+            now_seconds - in_flight.started_seconds,
+            now_seconds,
+        )
 
     def on_request_end(self, request_index: int, now_seconds: float) -> None:
         """Remove the request from the load of its engine."""
@@ -325,6 +342,13 @@
         )
 
 
+@_policy('gateway-speeds')
+class LearningGatewayPolicy(GatewayPolicy):
+    """Policy of a gateway that learns the speed of its targets."""
+
+    learns_speeds = True
+
+
 def _entry(index: int, domain: FailureDomain) -> TargetEntry:
     return TargetEntry(
         id=TargetId(f'm{index}'),
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -272,7 +272,9 @@
         pattern = self._pattern
         for index, engine in enumerate(self.engines):
             is_slow = self._in_fault_period and index == 0
-            engine.step_time_factor = pattern.slow_factor if is_slow else 1.0
+            engine.step_time_factor = (
+                pattern.slow_factor if is_slow else 1.0
+            ) / pattern.speeds[index % len(pattern.speeds)]
             if not (
                 self._in_fault_period and index < pattern.lost_engines_count
             ):
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -32,6 +32,7 @@
 )
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
 from dotterelhatch.core.routes import EngineSpec, RouteRule, ServiceSpec
+from dotterelhatch.core.speeds import FIRST_EVENT_SECONDS, TargetSpeeds
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.core.targetpauses import TargetPauses
@@ -46,10 +47,9 @@
 )
 
 # Prefill rate of an engine that also decodes running requests; the data sheet
-# gives 56,900 for prefill alone. The latency ratio of each target corrects it.
+# gives 56,900 for prefill alone. The latency ratio of each target corrects it,
+# unless the rate of the target is learned.
 _PREFILL_TOKENS_PER_SECOND: Final = 40_000.0
-# Time to the first event of an empty prompt on an idle engine.
-_FIRST_EVENT_SECONDS: Final = 0.04
 # Mean time of a request to a plain service, one without model engines, until
 # one has been measured.
 _INITIAL_PLAIN_SECONDS: Final = 0.045
@@ -135,6 +135,8 @@
     :param cached_tokens: prompt tokens that the target has cached.
     :param spare_tokens: memory of the target that running requests leave to
         its cache.
+    :param queued_tokens: prompt tokens that the target has to read before.
+    :param running_count: requests at the target, this one included.
     """
 
     entry: TargetEntry
@@ -143,6 +145,8 @@
     expected_seconds: float
     cached_tokens: int
     spare_tokens: int = 0
+    queued_tokens: int = 0
+    running_count: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +182,8 @@
     :param limits: request rates that targets take.
     :param rng: random generator for ties between targets and for the jitter
         of retry times.
+    :param speeds: learned speeds of the targets, None to use a constant rate
+        and the latency that this router measures.
     """
 
     def __init__(
@@ -188,6 +194,7 @@
         health: TargetHealth,
         limits: TargetLimits,
         rng: random.Random,
+        speeds: TargetSpeeds | None = None,
     ) -> None:
         """Create a balancer without measurements."""
         self.cache = PrefixCacheEstimate(settings.max_prefixes_count)
@@ -198,6 +205,7 @@
         self._health = health
         self._limits = limits
         self._rng = rng
+        self._speeds = speeds
         self._plain_seconds = _INITIAL_PLAIN_SECONDS
         self._selector = CandidateSelector(
             registry, self.cache, self.pauses, rng
@@ -382,7 +390,8 @@
             key=lambda candidate: candidate.score_seconds,
         )
         placement = best.placement
-        queue_seconds = self._plain_seconds * _MAX_PLAIN_QUEUE_FACTOR
+        mean_seconds = placement.expected_seconds - placement.wait_seconds
+        queue_seconds = mean_seconds * _MAX_PLAIN_QUEUE_FACTOR
         queue_seconds *= share_limit_factor(request.factors)
         limit_seconds = min(queue_seconds, request.remaining_seconds)
         if placement.wait_seconds > limit_seconds:
@@ -391,21 +400,37 @@
 
     def _plain_candidate(self, entry: TargetEntry) -> _Candidate:
         load = self._loads.total(entry.id)
-        slots = max(1, entry.slots_count)
-        queued_count = max(0, load.requests_count + 1 - slots)
-        wait_seconds = queued_count * self._plain_seconds / slots
+        running_count = load.requests_count + 1
+        slots, mean_seconds = self._plain_capacity(entry, running_count)
+        queued_count = max(0, running_count - slots)
+        wait_seconds = queued_count * mean_seconds / slots
         slots_utilisation = load.requests_count / slots
-        score = wait_seconds + slots_utilisation * self._plain_seconds
+        score = wait_seconds + slots_utilisation * mean_seconds
         score += self._penalty_seconds(entry)
         placement = Placement(
             entry,
             TargetLoad(requests_count=1),
             wait_seconds,
-            wait_seconds + self._plain_seconds,
+            wait_seconds + mean_seconds,
             0,
+            running_count=running_count,
         )
         return _Candidate(score, placement)
 
+    def _plain_capacity(
+        self, entry: TargetEntry, running_count: int
+    ) -> tuple[int, float]:
+        """Return the useful concurrency of a target and its request time."""
+        slots = max(1, entry.slots_count)
+        if self._speeds is not None:
+            good_count = self._speeds.good_concurrency(entry)
+            seconds = self._speeds.plain_seconds(
+                entry, min(running_count, good_count)
+            )
+            if seconds is not None:
+                return good_count, seconds
+        return slots, self._plain_seconds
+
     def _place_prompt(
         self,
         request: PlacementRequest,
@@ -469,8 +494,18 @@
         return None
 
     def _wait_seconds(self, entry: TargetEntry) -> float:
-        rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
-        return self._loads.total(entry.id).unread_tokens / rate
+        load = self._loads.total(entry.id)
+        return load.unread_tokens / self._prefill_rate(entry, load)
+
+    def _prefill_rate(self, entry: TargetEntry, load: TargetLoad) -> float:
+        """Return how many prompt tokens a target reads per second."""
+        if self._speeds is not None:
+            rate = self._speeds.prompt_tokens_per_second(
+                entry, load.requests_count + 1
+            )
+            if rate is not None:
+                return rate
+        return _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
 
     def _limit_seconds(
         self, request: PlacementRequest, placement: Placement
@@ -499,9 +534,8 @@
             has cached.
         """
         tokens = max_cached_tokens - placement.cached_tokens
-        rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(
-            placement.entry.id
-        )
+        entry = placement.entry
+        rate = self._prefill_rate(entry, self._loads.total(entry.id))
         return request.factors.strictness * tokens / rate
 
     def _prompt_candidate(
@@ -514,7 +548,7 @@
     ) -> _Candidate:
         load = self._loads.total(entry.id)
         unread_tokens = max(0, prompt.input_tokens - cached_tokens)
-        rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
+        rate = self._prefill_rate(entry, load)
         wait_seconds = load.unread_tokens / rate
         if load.requests_count >= engine.slots_count:
             wait_seconds += _CAPACITY_PENALTY_SECONDS
@@ -530,9 +564,11 @@
             entry,
             TargetLoad(1, unread_tokens, memory_tokens),
             wait_seconds,
-            _FIRST_EVENT_SECONDS + wait_seconds + prefill_seconds,
+            FIRST_EVENT_SECONDS + wait_seconds + prefill_seconds,
             cached_tokens,
             max(0, engine.memory_tokens - used_tokens),
+            queued_tokens=load.unread_tokens,
+            running_count=load.requests_count + 1,
         )
         return _Candidate(score, placement)
 
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -11,6 +11,7 @@
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import SentPrompt
+from dotterelhatch.core.speeds import SpeedReport
 from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.ids import (
     FailureDomain,
@@ -64,6 +65,7 @@
     :param crash_evidence: what the router knows of crashes of targets, None
         if that is nothing.
     :param target_limits: limits that targets named in recent answers.
+    :param target_speeds: new figures on the speed of targets.
     """
 
     usages: Mapping[OrganisationId, Usage] = field(default_factory=dict)
@@ -76,6 +78,7 @@
     )
     crash_evidence: CrashEvidence | None = None
     target_limits: tuple[LimitReport, ...] = ()
+    target_speeds: tuple[SpeedReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -111,6 +111,10 @@
         """Return the targets that are kept for a grace period."""
         return frozenset(self._lapsed_until_seconds)
 
+    def find(self, target: TargetId) -> TargetEntry | None:
+        """Return the entry of a target, None for one that is not known."""
+        return self._entries.get(target)
+
     def is_known(self, target: TargetId) -> bool:
         """Return whether a target is listed, or kept for a grace period."""
         return target in self._entries
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -63,6 +63,8 @@
 # the objective of the route, which is 0.5 s or less. A target without a
 # response after twice that time counts as unresponsive.
 _UNRESPONSIVE_SECONDS: Final = 1.0
+# Part of a measured time by which the event loop may be late.
+_MAX_LAG_RATIO: Final = 0.25
 # Outcomes of attempts that a target may not have begun.
 _FAILED_OUTCOMES: Final = frozenset(
     (AttemptOutcome.SHED, AttemptOutcome.BROKEN, AttemptOutcome.UNREACHABLE)
@@ -513,9 +515,7 @@
             if failed and self._may_retry():
                 return self._log_retry(attempt, 'server_error')
             if not self._routed.route.is_stream:
-                state.balancer.on_plain_response(
-                    state.clock() - attempt.started_seconds
-                )
+                self._learn_plain_speed(attempt, response.status)
             await relay.send_response(response, body)
         self._on_served(attempt, response.status)
         if is_success(response.status):
@@ -632,6 +632,7 @@
                     attempt.placement.expected_seconds,
                     now_seconds - attempt.started_seconds,
                 )
+                self._learn_prompt_speed(attempt, now_seconds)
             elif not attempt.has_survived and (
                 now_seconds - attempt.first_event_seconds >= SURVIVAL_SECONDS
             ):
@@ -644,6 +645,55 @@
         await relay.relay_stream(response, on_chunk)
         attempt.outcome = AttemptOutcome.ANSWERED
 
+    def _learn_prompt_speed(self, attempt: Attempt, now_seconds: float) -> None:
+        """Add the time to a first event to what is known of the target."""
+        placement = attempt.placement
+        if self._is_measurable(attempt, now_seconds) and self._runs_prompt:
+            self._state.target_speeds.on_first_event(
+                placement.entry,
+                self._routed.organisation,
+                placement.queued_tokens + placement.load.unread_tokens,
+                placement.running_count,
+                now_seconds - attempt.started_seconds,
+                now_seconds,
+            )
+
+    def _learn_plain_speed(self, attempt: Attempt, status: int) -> None:
+        """Add the time of a response to what is known of the target.
+
+        An error may take any time, and tells nothing of the speed.
+        """
+        state = self._state
+        now_seconds = state.clock()
+        state.balancer.on_plain_response(now_seconds - attempt.started_seconds)
+        placement = attempt.placement
+        if (
+            is_success(status)
+            and not self._runs_prompt
+            and self._is_measurable(attempt, now_seconds)
+        ):
+            state.target_speeds.on_plain_response(
+                placement.entry,
+                self._routed.organisation,
+                placement.running_count,
+                now_seconds - attempt.started_seconds,
+                now_seconds,
+            )
+
+    @property
+    def _runs_prompt(self) -> bool:
+        routed = self._routed
+        return bool(routed.metadata.prompt and routed.service.engine)
+
+    def _is_measurable(self, attempt: Attempt, now_seconds: float) -> bool:
+        """Return whether a time is that of the target and not of the router."""
+        state = self._state
+        seconds = now_seconds - attempt.started_seconds
+        return (
+            state.learns_target_speeds
+            and state.loop_lag.seconds <= _MAX_LAG_RATIO * seconds
+        )
+
     def _after_shed(
         self, attempt: Attempt, response: TargetResponse
     ) -> _NextStep:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -456,6 +456,7 @@
             plain_usages=state.contended_plain_usages(),
             crash_evidence=state.crash_causes.report(now_seconds),
             target_limits=state.target_limits.report(now_seconds),
+            target_speeds=state.report_target_speeds(now_seconds),
         )
 
     def _identity_heartbeat(self) -> Heartbeat:
--- a/src/dotterelhatch/gateway/decisions.py
+++ b/src/dotterelhatch/gateway/decisions.py
@@ -45,6 +45,7 @@
     TARGET_LAPSED = 'target_lapsed'
     TARGET_SUSPECTED = 'target_suspected'
     TARGET_LIMIT_CHANGED = 'target_limit_changed'
+    TARGET_SPEED_CHANGED = 'target_speed_changed'
     TARGET_LEAVING = 'target_leaving'
     TARGET_PAUSED = 'target_paused'
     CRASH_CAUSE_REJECTED = 'crash_cause_rejected'
--- a/src/dotterelhatch/gateway/heartbeats.py
+++ b/src/dotterelhatch/gateway/heartbeats.py
@@ -9,8 +9,9 @@
 import math
 import socket
 import zlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import replace
+from itertools import chain
 from types import TracebackType
 from typing import Any, Final, Self
 
@@ -21,6 +22,7 @@
 
 from dotterelhatch.core.crashcauses import CrashEvidence
 from dotterelhatch.core.peers import Heartbeat, WindowTotals
+from dotterelhatch.core.speeds import SpeedReport
 from dotterelhatch.fleet import RemoteAddress
 from dotterelhatch.net.stream import split_address
 
@@ -168,12 +170,19 @@
             numbers.extend((counts.refused_count, counts.admitted_count))
     for report in totals.target_limits:
         numbers.extend((report.started_ms, report.limit_per_second or 0))
+    numbers.extend(_speed_counts(totals.target_speeds))
     if totals.crash_evidence is not None:
         rejected = totals.crash_evidence.rejected
         numbers.extend([causes.trials_count for causes in rejected])
     return numbers
 
 
+def _speed_counts(reports: Iterable[SpeedReport]) -> Iterator[int]:
+    for report in reports:
+        yield report.started_ms
+        yield from chain.from_iterable(report.figures)
+
+
 def _ages(heartbeat: Heartbeat) -> list[float]:
     numbers = [age_seconds for _, age_seconds in heartbeat.refused]
     if heartbeat.totals is None:
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -128,6 +128,20 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.learned_targets = Gauge(
+            'learned_targets',
+            'Targets whose own speed is learned and used.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.learned_rate = Gauge(
+            'learned_rate',
+            'Prompt tokens or requests that a target completes per second, by '
+            'the quarter of its slots in use; the mean of a service.',
+            ('service', 'utilisation'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.paused_targets = Gauge(
             'paused_targets',
             'Targets that asked this router for a pause that is not over.',
--- a/src/dotterelhatch/gateway/settings.py
+++ b/src/dotterelhatch/gateway/settings.py
@@ -47,6 +47,8 @@
     :param target_departure_seconds: time after which a target that has left
         must get no requests.
     :param repeats: budget of retries to targets.
+    :param learns_target_speeds: whether predicted waits follow the speed of
+        each target, as learned by all routers.
     """
 
     router_id: RouterId
@@ -64,6 +66,7 @@
     target_departure_seconds: float = Field(default=2.0, gt=0)
     repeats: RetryBudgetSettings = RetryBudgetSettings()
     leaving: LeavingSettings = LeavingSettings()
+    learns_target_speeds: bool = False
     log_level: str = Field(
         default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
     )
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -39,6 +39,7 @@
 )
 from dotterelhatch.core.rejections import RejectedRequests
 from dotterelhatch.core.routes import RoutingTable, ServiceSpec
+from dotterelhatch.core.speeds import SpeedReport, TargetSpeeds
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.gateway.decisions import Decision, log_decision
@@ -107,6 +108,7 @@
         self.target_limits = TargetLimits(
             settings.router_id, self._sharing_rates
         )
+        self.target_speeds = TargetSpeeds(self.registry.find)
         self.balancer = Balancer(
             BalancerSettings(
                 settings.failure_domain, _max_prefixes_count(settings)
@@ -116,6 +118,7 @@
             self.health,
             self.target_limits,
             rng,
+            self.target_speeds if settings.learns_target_speeds else None,
         )
         self.metrics.paused_targets.set_function(
             lambda: self.balancer.pauses.paused_count(self.clock())
@@ -133,6 +136,8 @@
             lambda: len(self.registry.lapsed)
         )
         self.retry_budget = FleetRetryBudget(_retry_budget_settings(settings))
+        # Settings that are reloaded do not change how targets are chosen.
+        self.learns_target_speeds = settings.learns_target_speeds
         self.loop_lag = LoopLag()
         self.arrivals = ArrivalRate()
         self._closed_seconds = -math.inf
@@ -330,6 +335,10 @@
             self.on_limit_changed(
                 report.target, report.limit_per_second, router
             )
+        if self.learns_target_speeds:
+            self.target_speeds.on_report(
+                router, totals.target_speeds, now_seconds
+            )
         self.on_causes_rejected(
             self.crash_causes.on_report(
                 router, totals.crash_evidence, now_seconds
@@ -337,6 +346,34 @@
             router,
         )
 
+    def report_target_speeds(
+        self, now_seconds: float
+    ) -> tuple[SpeedReport, ...]:
+        """Update the learned speeds; return what is new for the peers."""
+        if not self.learns_target_speeds:
+            return ()
+        speeds = self.target_speeds
+        reports = speeds.report(now_seconds)
+        for change in speeds.take_changes():
+            log_decision(
+                Decision.TARGET_SPEED_CHANGED,
+                target=change.target,
+                service=change.service,
+                per_second=round(change.per_second, 1),
+                former_per_second=round(change.former_per_second, 1),
+            )
+        if reports:
+            self._update_speed_metrics()
+        return reports
+
+    def _update_speed_metrics(self) -> None:
+        self.metrics.learned_targets.set(self.target_speeds.learned_count)
+        for service, rates in self.target_speeds.service_rates.items():
+            for quarter, rate in enumerate(rates, 1):
+                self.metrics.learned_rate.labels(
+                    service, f'{quarter}/{len(rates)}'
+                ).set(rate)
+
     def decide_crash_causes(self) -> None:
         """Reject the causes of crashes that are known by now."""
         now_seconds = self.clock()
@@ -518,6 +555,7 @@
                 self.balancer.cache.reset(entry.id)
             if entry.state is TargetState.READY:
                 self.health.reset(entry.id)
+                self.target_speeds.forget(entry.id)
                 self.balancer.cache.reset(entry.id)
                 self.crash_causes.on_started(entry.id)
         for service in services:
--- a/src/dotterelhatch/platform/settings.py
+++ b/src/dotterelhatch/platform/settings.py
@@ -34,6 +34,8 @@
 _CALLER_TTL_RATIO: Final = 0.4
 _RESERVED_DESCRIPTORS_COUNT: Final = 200
 _MAX_CHARACTERS_COUNT: Final = 1_048_576
+# Contract by which the routers learn the speed and capacity of servers.
+_POOL_CONTRACT: Final = 'pool'
 
 
 _Port = Annotated[int, Field(ge=1, le=65_535)]
@@ -93,6 +95,7 @@
     listen: _Listen
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    contracts: tuple[str, ...] = ()
     platform: _Platform
 
 
@@ -201,6 +204,7 @@
             address_ttl_seconds=bounds.ttl_max_s * _CALLER_TTL_RATIO,
             limit_seconds=bounds.grace_s,
         ),
+        learns_target_speeds=_POOL_CONTRACT in document.contracts,
     )
 
 
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -23,6 +23,7 @@
 )
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
 from dotterelhatch.core.rejections import RejectedRequests
+from dotterelhatch.core.speeds import SpeedReport
 from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
 from dotterelhatch.ids import (
@@ -111,6 +112,18 @@
             ),
             max_size=2,
         ).map(tuple),
+        target_speeds=st.lists(
+            st.builds(
+                SpeedReport,
+                _NAMES.map(TargetId),
+                _COUNTS,
+                st.booleans(),
+                st.lists(
+                    st.tuples(st.integers(0, 3), _COUNTS, _COUNTS), max_size=4
+                ).map(tuple),
+            ),
+            max_size=2,
+        ).map(tuple),
     ),
     is_source_seen=st.booleans(),
     requests_per_second=_COUNTS.map(float),
