--- a/src/dotterelhatch/core/speeds.py
+++ b/src/dotterelhatch/core/speeds.py
@@ -36,7 +36,8 @@
 # mean over this time varies little, and follows a change within seconds.
 _DECAY_SECONDS: Final = 4.0
 _REPORT_INTERVAL_SECONDS: Final = 1.0
-_REFRESH_INTERVAL_SECONDS: Final = 0.25
+# Takes about 25 µs for each target.
+_REFRESH_INTERVAL_SECONDS: Final = 0.5
 # The time that the requests of a service took, before its figures are used.
 _MIN_SERVICE_SECONDS: Final = 1.0
 _MIN_TARGET_SECONDS: Final = 0.2
@@ -144,6 +145,7 @@
     mean_report_seconds: float = 0
 
     def decay(self, now_seconds: float) -> None:
+        """Lower the sums by the time since the last call."""
         elapsed_seconds = now_seconds - self.updated_seconds
         if elapsed_seconds > 0:
             self.sums.decay(math.exp(-elapsed_seconds / _DECAY_SECONDS))
@@ -242,7 +244,6 @@
             _utilisation_class(entry, running_count),
             (tokens, seconds - FIRST_EVENT_SECONDS),
             weight,
-            now_seconds,
         )
 
     def on_plain_response(
@@ -266,7 +267,6 @@
             _utilisation_class(entry, running_count),
             (_WORK_PER_REQUEST, seconds),
             1.0,
-            now_seconds,
         )
 
     def prompt_tokens_per_second(
@@ -376,7 +376,6 @@
         utilisation: int,
         observed: tuple[float, float],
         weight: float,
-        now_seconds: float,
     ) -> None:
         """Add an observation of this router, also to its next report.
 
@@ -389,7 +388,6 @@
         weight *= min(1, _MAX_WEIGHT_SECONDS / expected_seconds)
         work *= weight
         seconds *= weight
-        record.decay(now_seconds)
         record.sums.add(utilisation, work, seconds)
         if record.unreported is None:
             record.unreported = _Sums()
@@ -427,7 +425,6 @@
             counted_seconds - record.mean_report_seconds
         )
         weight = counted_seconds / total_seconds
-        record.decay(now_seconds)
         for utilisation, work, seconds in figures:
             record.sums.add(utilisation, work * weight, seconds * weight)
 
--- a/tests/test_odd_settings.py
+++ b/tests/test_odd_settings.py
@@ -34,6 +34,8 @@
         ('"10.2.0.18:8785"', '"nowhere"', 'seeds.0'),
         ('"10.2.0.18:8785"', '"10.2.0.18:99999"', 'seeds.0'),
         ('ip = "10.1.0.33"', 'ip = "nowhere"', 'ip'),
+        ('ip = "10', 'contracts = "pool"\nip = "10', 'contracts'),
+        ('ip = "10', 'contracts = [7]\nip = "10', 'contracts.0'),
     ],
 )
 def test_odd_settings_are_named(former: str, odd: str, named: str) -> None:
@@ -50,6 +52,21 @@
     assert named in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [
+        ('', False),
+        ('contracts = []', False),
+        ('contracts = ["other"]', False),
+        ('contracts = ["other", "pool"]', True),
+    ],
+)
+def test_speeds_are_learned_by_contract_only(line: str, expected: bool) -> None:
+    """Guards against deployments that are served otherwise than before."""
+    settings = parse_settings(SETTINGS.replace('ip = ', f'{line}\nip = ', 1))
+    assert settings.gateway.learns_target_speeds is expected
+
+
 def test_a_settings_file_without_end_is_not_read(tmp_path: Path) -> None:
     """Guards against a file that fills the memory of the process."""
     path = tmp_path / 'settings.toml'
