--- a/tests/test_odd_heartbeats.py
+++ b/tests/test_odd_heartbeats.py
@@ -97,6 +97,18 @@
     'limit-age-infinite': datagram(
         totals={'target_limits': [LIMIT | {'age_seconds': math.inf}]}
     ),
+    'speed-negative': datagram(
+        totals={'target_speeds': [['i-1', 1, False, [[0, -1, 5]]]]}
+    ),
+    'speed-large': datagram(
+        totals={'target_speeds': [['i-1', 1, False, [[0, 1, 2**62]]]]}
+    ),
+    'speed-start-negative': datagram(
+        totals={'target_speeds': [['i-1', -1, False, []]]}
+    ),
+    'speed-not-whole': datagram(
+        totals={'target_speeds': [['i-1', 1, False, [[0, 1, 0.5]]]]}
+    ),
     'refused-age-no-number': datagram(refused=[['f', math.nan]]),
     'prompt-negative': datagram(
         sent_prompts=[
