--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -28,6 +28,7 @@
 )
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
+from dotterelhatch.gateway.lag import LoopLag
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.ids import (
     FailureDomain,
@@ -36,7 +37,12 @@
     ServiceId,
     TargetId,
 )
-from tests.gateway_helpers import gateway_settings
+from tests.gateway_helpers import (
+    ServerStandIn,
+    gateway_settings,
+    open_gateway,
+    run_async,
+)
 from tests.test_balancer import make_request, prompt
 
 MODEL = ServiceId('usta-model')
@@ -445,6 +451,28 @@
     assert 'learned_rate{service="usta-model",utilisation="1/4"}' in rendered
 
 
+@run_async
+async def test_gateway_learns_from_its_responses() -> None:
+    """Guards against figures that the request path does not add.
+
+    Errors of a plain service, which may be fast, are not counted.
+    """
+    servers = (PLAIN, ServerStandIn('p-1')), (MODEL, ServerStandIn('m-1'))
+    async with open_gateway(*servers) as fixture:
+        state = fixture.gateway.state
+        state.learns_target_speeds = True
+        # Stays at zero, so that a busy machine does not change the result.
+        state.loop_lag = LoopLag()
+        assert (await fixture.call('/lookup/a', 'r1')).status == 200
+        assert (await fixture.stream('/draft/a', 'r2')).status == 200
+        reports = state.report_target_speeds(state.clock())
+    figures = {one.target: one for one in reports}
+    assert {'p-1': True, 'm-1': False} == {
+        name: one.is_plain for name, one in figures.items()
+    }
+    assert figures[TargetId('p-1')].figures[0][:2] == (0, 1000)
+
+
 class _Balanced:
     """A balancer with or without learned speeds."""
 
