Separate the fixed part of the time to a first event when learning speeds

With many routers much of the time of a request is that of requests which other routers placed and had not reported yet. It made all targets look slow.

--- a/src/dotterelhatch/core/speeds.py
+++ b/src/dotterelhatch/core/speeds.py
@@ -57,6 +57,17 @@
 # Longest predicted time with which one observation counts. Callers state the
 # lengths of prompts, and one that overstates them must not outweigh others.
 _MAX_WEIGHT_SECONDS: Final = 0.2
+# Range of the time of a prompt that does not depend on its tokens, and of the
+# observations from which a router learns it.
+_MAX_FIXED_SECONDS: Final = 0.3
+_FIXED_DECAY_SECONDS: Final = 8.0
+_MIN_FIXED_COUNT: Final = 15
+_MAX_FIXED_TOKENS: Final = 15_000
+_MAX_FIXED_OBSERVED_SECONDS: Final = 2.0
+# A deduction beyond that of an empty prompt leaves this part of the time.
+_MIN_NET_RATIO: Final = 0.5
+# Range of the rate of a service around the one that is assumed at first.
+_MAX_SERVICE_RATIO: Final = 64.0
 # Range of the rate of a target around that of its service.
 _MAX_TARGET_RATIO: Final = 4.0
 # An organisation counts with this part of the weight of all others, beyond a
@@ -123,6 +134,59 @@
         self.seconds[one] += seconds
 
 
+@dataclass(slots=True)
+class _FixedTime:
+    """Time to a first event that does not depend on the queued tokens.
+
+    Besides the time of an empty prompt, these are requests that other routers
+    have placed and not yet reported, and the delay of this router. It is the
+    intercept of a least-squares line through recent observations.
+    """
+
+    updated_seconds: float
+    count: float = 0
+    tokens: float = 0
+    seconds: float = 0
+    tokens_squared: float = 0
+    tokens_seconds: float = 0
+
+    def add(
+        self, tokens: float, seconds: float, weight: float, now_seconds: float
+    ) -> None:
+        """Add an observation."""
+        elapsed_seconds = max(0, now_seconds - self.updated_seconds)
+        self.updated_seconds = now_seconds
+        factor = math.exp(-elapsed_seconds / _FIXED_DECAY_SECONDS)
+        tokens = min(tokens, _MAX_FIXED_TOKENS)
+        seconds = min(seconds, _MAX_FIXED_OBSERVED_SECONDS)
+        weighted_tokens = weight * tokens
+        self.count = self.count * factor + weight
+        self.tokens = self.tokens * factor + weighted_tokens
+        self.seconds = self.seconds * factor + weight * seconds
+        self.tokens_squared = (
+            self.tokens_squared * factor + weighted_tokens * tokens
+        )
+        self.tokens_seconds = (
+            self.tokens_seconds * factor + weighted_tokens * seconds
+        )
+
+    def deduct(self, seconds: float) -> float:
+        """Return the part of a time that depends on the tokens."""
+        least_seconds = min(
+            seconds - FIRST_EVENT_SECONDS, seconds * _MIN_NET_RATIO
+        )
+        return max(seconds - self._intercept_seconds(), least_seconds)
+
+    def _intercept_seconds(self) -> float:
+        spread = self.count * self.tokens_squared - self.tokens * self.tokens
+        if self.count < _MIN_FIXED_COUNT or spread <= 0:
+            return FIRST_EVENT_SECONDS
+        slope = self.count * self.tokens_seconds - self.tokens * self.seconds
+        slope = max(0, slope / spread)
+        intercept = (self.seconds - slope * self.tokens) / self.count
+        return min(_MAX_FIXED_SECONDS, max(FIRST_EVENT_SECONDS, intercept))
+
+
 @dataclass(slots=True)
 class _Record:
     """Figures of one start of a target.
@@ -198,6 +262,7 @@
         self._records: dict[tuple[TargetId, bool], _Record] = {}
         # Rates of the services, for targets without figures.
         self._service_rates: dict[tuple[ServiceId, bool], Sequence[float]] = {}
+        self._fixed_times: dict[ServiceId, _FixedTime] = {}
         self._changes: list[SpeedChange] = []
         self._refreshed_seconds = -math.inf
         self._reported_seconds = -math.inf
@@ -237,13 +302,17 @@
         """
         if tokens <= 0:
             return
-        weight = tokens / (tokens + _HALF_WEIGHT_TOKENS)
+        record = self._record(entry, now_seconds, is_plain=False)
+        weight = record.weight_of(organisation)
+        fixed = self._fixed_times.setdefault(
+            entry.service, _FixedTime(now_seconds)
+        )
+        fixed.add(tokens, seconds, weight, now_seconds)
         self._observe(
-            self._record(entry, now_seconds, is_plain=False),
-            organisation,
+            record,
             _utilisation_class(entry, running_count),
-            (tokens, seconds - FIRST_EVENT_SECONDS),
-            weight,
+            (tokens, fixed.deduct(seconds)),
+            weight * tokens / (tokens + _HALF_WEIGHT_TOKENS),
         )
 
     def on_plain_response(
@@ -261,12 +330,12 @@
         slots_count = max(1, entry.slots_count)
         if running_count > slots_count:
             seconds *= slots_count / running_count
+        record = self._record(entry, now_seconds, is_plain=True)
         self._observe(
-            self._record(entry, now_seconds, is_plain=True),
-            organisation,
+            record,
             _utilisation_class(entry, running_count),
             (_WORK_PER_REQUEST, seconds),
-            1.0,
+            record.weight_of(organisation),
         )
 
     def prompt_tokens_per_second(
@@ -372,7 +441,6 @@
     def _observe(
         self,
         record: _Record,
-        organisation: OrganisationId | None,
         utilisation: int,
         observed: tuple[float, float],
         weight: float,
@@ -383,7 +451,6 @@
         """
         work, seconds = observed
         seconds = record.clip_seconds(utilisation, work, seconds)
-        weight *= record.weight_of(organisation)
         expected_seconds = record.expected_seconds(utilisation, work)
         weight *= min(1, _MAX_WEIGHT_SECONDS / expected_seconds)
         work *= weight
@@ -476,7 +543,7 @@
         # A service keeps its last rates while it gets no requests.
         for service, total in services.items():
             if sum(total.seconds) >= _MIN_SERVICE_SECONDS:
-                mean = sum(total.work) / sum(total.seconds)
+                mean = _service_rate(total, is_plain=service[1])
                 self._service_rates[service] = [
                     _with_prior(work, seconds, mean)
                     for work, seconds in zip(
@@ -548,6 +615,15 @@
     return (work + _PRIOR_SECONDS * rate) / (seconds + _PRIOR_SECONDS)
 
 
+def _service_rate(total: _Sums, *, is_plain: bool) -> float:
+    """Return the mean rate of a service, in a range that any may have."""
+    initial = _INITIAL_PLAIN_RATE if is_plain else _INITIAL_PROMPT_RATE
+    return min(
+        initial * _MAX_SERVICE_RATIO,
+        max(initial / _MAX_SERVICE_RATIO, sum(total.work) / sum(total.seconds)),
+    )
+
+
 def _utilisation_class(entry: TargetEntry, running_count: int) -> int:
     """Return the quarter of the slots that a number of requests reaches."""
     share = running_count / max(1, entry.slots_count)
