--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -32,6 +32,7 @@
 )
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
 from dotterelhatch.core.routes import EngineSpec, RouteRule, ServiceSpec
+from dotterelhatch.core.speeds import FIRST_EVENT_SECONDS, TargetSpeeds
 from dotterelhatch.core.targethealth import TargetHealth
 from dotterelhatch.core.targetlimits import TargetLimits
 from dotterelhatch.core.targetpauses import TargetPauses
@@ -40,6 +41,7 @@
 
 __all__ = (
     'Balancer',
+    'BalancerExtensions',
     'BalancerSettings',
     'Placement',
     'PlacementRequest',
@@ -47,10 +49,9 @@
 )
 
 # Prefill rate of an engine that also decodes running requests; the data sheet
-# gives 56,900 for prefill alone. The latency ratio of each target corrects it.
+# gives 56,900 for prefill alone. The latency ratio of each target corrects it,
+# unless the rate of the target is learned.
 _PREFILL_TOKENS_PER_SECOND: Final = 40_000.0
-# Time to the first event of an empty prompt on an idle engine.
-_FIRST_EVENT_SECONDS: Final = 0.04
 # Mean time of a request to a plain service, one without model engines, until
 # one has been measured.
 _INITIAL_PLAIN_SECONDS: Final = 0.045
@@ -139,6 +140,8 @@
     :param cached_tokens: prompt tokens that the target has cached.
     :param spare_tokens: memory of the target that running requests leave to
         its cache.
+    :param queued_tokens: prompt tokens that the target has to read before.
+    :param running_count: requests at the target, this one included.
     """
 
     entry: TargetEntry
@@ -147,6 +150,8 @@
     expected_seconds: float
     cached_tokens: int
     spare_tokens: int = 0
+    queued_tokens: int = 0
+    running_count: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +178,19 @@
     placement: Placement
 
 
+@dataclass(frozen=True, slots=True)
+class BalancerExtensions:
+    """Parts of a balancer that only some deployments ask for.
+
+    :param warmup: request rates that cold targets take, None for no limit.
+    :param speeds: learned speeds of the targets, None to use a constant rate
+        and the latency that this router measures.
+    """
+
+    warmup: WarmupLimits | None = None
+    speeds: TargetSpeeds | None = None
+
+
 class Balancer:
     """Selects targets for requests.
 
@@ -183,7 +201,7 @@
     :param limits: request rates that targets take.
     :param rng: random generator for ties between targets and for the jitter
         of retry times.
-    :param warmup: request rates that cold targets take, None for no limit.
+    :param extensions: what only some deployments ask for.
     """
 
     def __init__(
@@ -194,7 +212,7 @@
         health: TargetHealth,
         limits: TargetLimits,
         rng: random.Random,
-        warmup: WarmupLimits | None = None,
+        extensions: BalancerExtensions | None = None,
     ) -> None:
         """Create a balancer without measurements."""
         self.cache = PrefixCacheEstimate(settings.max_prefixes_count)
@@ -205,7 +223,9 @@
         self._health = health
         self._limits = limits
         self._rng = rng
-        self._warmup = warmup or WarmupLimits.without_limits()
+        extensions = extensions or BalancerExtensions()
+        self._warmup = extensions.warmup or WarmupLimits.without_limits()
+        self._speeds = extensions.speeds
         self._plain_seconds = _INITIAL_PLAIN_SECONDS
         self._selector = CandidateSelector(
             registry, self.cache, self.pauses, rng, self._warmup
@@ -414,7 +434,8 @@
             key=lambda candidate: candidate.score_seconds,
         )
         placement = best.placement
-        queue_seconds = self._plain_seconds * _MAX_PLAIN_QUEUE_FACTOR
+        mean_seconds = placement.expected_seconds - placement.wait_seconds
+        queue_seconds = mean_seconds * _MAX_PLAIN_QUEUE_FACTOR
         queue_seconds *= share_limit_factor(request.factors)
         limit_seconds = min(queue_seconds, request.remaining_seconds)
         if placement.wait_seconds > limit_seconds:
@@ -423,22 +444,38 @@
 
     def _plain_candidate(self, entry: TargetEntry) -> _Candidate:
         load = self._loads.total(entry.id)
-        slots = max(1, entry.slots_count)
-        queued_count = max(0, load.requests_count + 1 - slots)
-        plain_seconds = self._plain_seconds * self._warmup.time_ratio(entry.id)
-        wait_seconds = queued_count * plain_seconds / slots
+        running_count = load.requests_count + 1
+        slots, mean_seconds = self._plain_capacity(entry, running_count)
+        mean_seconds *= self._warmup.time_ratio(entry.id)
+        queued_count = max(0, running_count - slots)
+        wait_seconds = queued_count * mean_seconds / slots
         slots_utilisation = load.requests_count / slots
-        score = wait_seconds + slots_utilisation * plain_seconds
+        score = wait_seconds + slots_utilisation * mean_seconds
         score += self._penalty_seconds(entry)
         placement = Placement(
             entry,
             TargetLoad(requests_count=1),
             wait_seconds,
-            wait_seconds + plain_seconds,
+            wait_seconds + mean_seconds,
             0,
+            running_count=running_count,
         )
         return _Candidate(score, placement)
 
+    def _plain_capacity(
+        self, entry: TargetEntry, running_count: int
+    ) -> tuple[int, float]:
+        """Return the useful concurrency of a target and its request time."""
+        slots = max(1, entry.slots_count)
+        if self._speeds is not None:
+            good_count = self._speeds.good_concurrency(entry)
+            seconds = self._speeds.plain_seconds(
+                entry, min(running_count, good_count)
+            )
+            if seconds is not None:
+                return good_count, seconds
+        return slots, self._plain_seconds
+
     def _place_prompt(
         self,
         request: PlacementRequest,
@@ -502,9 +539,29 @@
         return None
 
     def _wait_seconds(self, entry: TargetEntry) -> float:
+        load = self._loads.total(entry.id)
+        return self._queue_seconds(entry, load, self._prefill_rate(entry, load))
+
+    def _queue_seconds(
+        self, entry: TargetEntry, load: TargetLoad, rate: float
+    ) -> float:
+        """Return the time until a target begins to read a prompt."""
+        seconds = load.unread_tokens / rate
+        if self._speeds is not None:
+            seconds += self._speeds.unseen_seconds(entry)
+        return seconds
+
+    def _prefill_rate(self, entry: TargetEntry, load: TargetLoad) -> float:
+        """Return how many prompt tokens a target reads per second."""
+        time_ratio = self._warmup.time_ratio(entry.id)
+        if self._speeds is not None:
+            rate = self._speeds.prompt_tokens_per_second(
+                entry, load.requests_count + 1
+            )
+            if rate is not None:
+                return rate / time_ratio
         rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
-        rate /= self._warmup.time_ratio(entry.id)
-        return self._loads.total(entry.id).unread_tokens / rate
+        return rate / time_ratio
 
     def _limit_seconds(
         self, request: PlacementRequest, placement: Placement
@@ -533,9 +590,8 @@
             has cached.
         """
         tokens = max_cached_tokens - placement.cached_tokens
-        rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(
-            placement.entry.id
-        )
+        entry = placement.entry
+        rate = self._prefill_rate(entry, self._loads.total(entry.id))
         return request.factors.strictness * tokens / rate
 
     def _prompt_candidate(
@@ -548,9 +604,8 @@
     ) -> _Candidate:
         load = self._loads.total(entry.id)
         unread_tokens = max(0, prompt.input_tokens - cached_tokens)
-        rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
-        rate /= self._warmup.time_ratio(entry.id)
-        wait_seconds = load.unread_tokens / rate
+        rate = self._prefill_rate(entry, load)
+        wait_seconds = self._queue_seconds(entry, load, rate)
         if load.requests_count >= engine.slots_count:
             wait_seconds += _CAPACITY_PENALTY_SECONDS
         prefill_seconds = unread_tokens / rate
@@ -565,9 +620,11 @@
             entry,
             TargetLoad(1, unread_tokens, memory_tokens),
             wait_seconds,
-            _FIRST_EVENT_SECONDS + wait_seconds + prefill_seconds,
+            FIRST_EVENT_SECONDS + wait_seconds + prefill_seconds,
             cached_tokens,
             max(0, engine.memory_tokens - used_tokens),
+            queued_tokens=load.unread_tokens,
+            running_count=load.requests_count + 1,
         )
         return _Candidate(score, placement)
 
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -13,6 +13,7 @@
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import SentPrompt
 from dotterelhatch.core.reported import Age, Count, Rate
+from dotterelhatch.core.speeds import SpeedReport
 from dotterelhatch.core.targetlimits import LimitReport
 from dotterelhatch.ids import (
     FailureDomain,
@@ -81,6 +82,7 @@
     :param crash_evidence: what the router knows of crashes of targets, None
         if that is nothing.
     :param target_limits: limits that targets named in recent answers.
+    :param target_speeds: new figures on the speed of targets.
     """
 
     usages: Mapping[OrganisationId, Usage] = field(default_factory=dict)
@@ -93,6 +95,7 @@
     )
     crash_evidence: CrashEvidence | None = None
     target_limits: tuple[LimitReport, ...] = ()
+    target_speeds: tuple[SpeedReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -434,7 +434,7 @@
         if recipients.elsewhere:
             # They get too few heartbeats to leave the totals out of any.
             self._totals_due_seconds = 0
-        near = self._heartbeat(now_seconds)
+        near = self._heartbeat(now_seconds, is_to_all=is_to_all)
         elsewhere = self._rounds.on_sent(near, now_seconds, is_to_all=is_to_all)
         datagram = self._encode(near)
         self._send_to(datagram, recipients.near)
@@ -452,7 +452,7 @@
         for address in addresses:
             self._heartbeats.send(datagram, address)
 
-    def _heartbeat(self, now_seconds: float) -> Heartbeat:
+    def _heartbeat(self, now_seconds: float, *, is_to_all: bool) -> Heartbeat:
         state = self.state
         self._sequence += 1
         self._count_unread_arrivals(now_seconds)
@@ -462,7 +462,7 @@
             snapshot_versions=self.snapshot_store.versions(),
             snapshot_points=self.snapshot_store.points(),
             loads=state.load_tracker.local_loads,
-            totals=self._totals_if_due(now_seconds),
+            totals=self._totals_if_due(now_seconds, is_to_all=is_to_all),
             sent_prompts=state.prompt_reports.take(),
             refused=state.rejected_requests.take_unreported(now_seconds),
             is_source_seen=state.has_source_responded(now_seconds),
@@ -477,7 +477,9 @@
             now_seconds, self._rejected_unread_count - former_count
         )
 
-    def _totals_if_due(self, now_seconds: float) -> WindowTotals | None:
+    def _totals_if_due(
+        self, now_seconds: float, *, is_to_all: bool
+    ) -> WindowTotals | None:
         if now_seconds < self._totals_due_seconds:
             return None
         self._totals_due_seconds = now_seconds + _TOTALS_INTERVAL_SECONDS
@@ -495,6 +497,10 @@
             plain_usages=state.contended_plain_usages(),
             crash_evidence=state.crash_causes.report(now_seconds),
             target_limits=state.target_limits.report(now_seconds),
+            # Peers add them up, so that each report has to reach all of them.
+            target_speeds=state.report_target_speeds(now_seconds)
+            if is_to_all
+            else (),
         )
 
     def _identity_heartbeat(self) -> Heartbeat:
--- a/src/dotterelhatch/gateway/settings.py
+++ b/src/dotterelhatch/gateway/settings.py
@@ -69,6 +69,8 @@
     :param has_fewer_heartbeats_elsewhere: whether a large fleet sends fewer
         heartbeats to other failure domains.
     :param warmup: bound of the requests to cold targets.
+    :param learns_target_speeds: whether predicted waits follow the speed of
+        each target, as learned by all routers.
     """
 
     router_id: RouterId
@@ -88,6 +90,7 @@
     leaving: LeavingSettings = LeavingSettings()
     has_fewer_heartbeats_elsewhere: bool = True
     warmup: WarmupSettings = WarmupSettings()
+    learns_target_speeds: bool = False
     log_level: str = Field(
         default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
     )
--- a/src/dotterelhatch/platform/settings.py
+++ b/src/dotterelhatch/platform/settings.py
@@ -35,6 +35,8 @@
 _CALLER_TTL_RATIO: Final = 0.4
 _RESERVED_DESCRIPTORS_COUNT: Final = 200
 _MAX_CHARACTERS_COUNT: Final = 1_048_576
+# Contract by which the routers learn the speed and capacity of servers.
+_POOL_CONTRACT: Final = 'pool'
 
 
 _Port = Annotated[int, Field(ge=1, le=65_535)]
@@ -108,6 +110,7 @@
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     heartbeats: _Heartbeats = _Heartbeats()
+    contracts: tuple[str, ...] = ()
     platform: _Platform
 
 
@@ -223,6 +226,7 @@
             overshoot_ratio=bounds.cold_overshoot,
             slack_count=bounds.cold_slack,
         ),
+        learns_target_speeds=_POOL_CONTRACT in document.contracts,
     )
 
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -10,6 +10,7 @@
 
 from dotterelhatch.core.balancer import (
     Balancer,
+    BalancerExtensions,
     BalancerSettings,
     Placement,
     PlacementRequest,
@@ -97,7 +98,7 @@
             TargetHealth(),
             TargetLimits(RouterId('r1'), lambda: {RouterId('r1'): 9}),
             random.Random(1),
-            self.warmup,
+            BalancerExtensions(warmup=self.warmup),
         )
 
     def place(
