Place requests by the memory that running requests need at an engine

Each running request counted with its whole prompt and its largest answer, and an overfull engine only got a worse place in the order. Where memory and not slots limits an engine, a request now goes only to a target with memory for it, with learned lengths of answers and shared parts once per target.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -1,6 +1,7 @@
 """Model engine with continuous batching, chunked prefill and prefix cache."""
 
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -47,9 +48,16 @@
     whose prompt has been read.
 
     :param step_time_factor: multiplies the duration of every step.
+    :param memory_tokens: capacity of its memory.
+    :param grows: whether requests start as soon as their prompt has room, with
+        shared parts in memory once. Otherwise each of them starts when all that
+        it needs by its end has room.
     """
 
     step_time_factor: float = 1.0
+    memory_tokens: int = MEMORY_TOKENS
+    grows: bool = False
+    preemptions_count: int = 0
     now_seconds: float = 0.0
     waiting: deque[EngineRequest] = field(default_factory=deque)
     running: list[EngineRequest] = field(default_factory=list)
@@ -74,13 +82,38 @@
     def _admit(self) -> None:
         while self.waiting and len(self.running) < SLOTS_COUNT:
             request = self.waiting[0]
-            used = sum(active.memory_tokens for active in self.running)
-            if used + request.memory_tokens > MEMORY_TOKENS:
+            if not self._has_room(request):
                 return
             self.waiting.popleft()
             request.unread_tokens = self._count_unread(request)
+            request.unread_tokens += request.generated_tokens
             self.running.append(request)
 
+    def _has_room(self, request: EngineRequest) -> bool:
+        if self.grows:
+            used = self._used_tokens((*self.running, request))
+            return not self.running or used <= self.memory_tokens
+        used = sum(active.memory_tokens for active in self.running)
+        return used + request.memory_tokens <= self.memory_tokens
+
+    def _used_tokens(self, requests: Iterable[EngineRequest]) -> int:
+        """Return the memory of requests, with shared parts once."""
+        parts: dict[str, int] = {}
+        generated = 0
+        for request in requests:
+            parts.update(request.parts)
+            generated += request.generated_tokens
+        return sum(parts.values()) + generated
+
+    def _preempt_newest(self) -> None:
+        """Stop requests whose answers no longer fit; they are read again."""
+        while (
+            len(self.running) > 1
+            and self._used_tokens(self.running) > self.memory_tokens
+        ):
+            self.waiting.appendleft(self.running.pop())
+            self.preemptions_count += 1
+
     def _count_unread(self, request: EngineRequest) -> int:
         total = sum(tokens for _, tokens in request.parts)
         prefix = ''
@@ -105,6 +138,8 @@
         for request in tuple(self.running):
             if not request.unread_tokens:
                 self._generate(request)
+        if self.grows:
+            self._preempt_newest()
 
     def _generate(self, request: EngineRequest) -> None:
         if request.first_token_seconds is None:
@@ -121,7 +156,11 @@
             prefix = f'{prefix}/{name}'
             self._cached_prefixes.pop(prefix, None)
             self._cached_prefixes[prefix] = tokens
-        used = sum(active.memory_tokens for active in self.running)
+        used = (
+            self._used_tokens(self.running)
+            if self.grows
+            else sum(active.memory_tokens for active in self.running)
+        )
         total = sum(self._cached_prefixes.values())
-        while self._cached_prefixes and total > MEMORY_TOKENS - used:
+        while self._cached_prefixes and total > self.memory_tokens - used:
             total -= self._cached_prefixes.popitem(last=False)[1]
--- a/emulator/patterns.py
+++ b/emulator/patterns.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-__all__ = ('PATTERNS', 'REQUEST_KINDS', 'Pattern', 'RequestKind')
+__all__ = (
+    'PATTERNS',
+    'REQUEST_KINDS',
+    'SCARCE_MEMORY_KINDS',
+    'Pattern',
+    'RequestKind',
+)
 
 
 @dataclass(frozen=True)
@@ -15,7 +21,9 @@
     :param shared_tokens: length of a prompt prefix that requests share.
     :param own_tokens: mean length of the part that is unique to a request.
     :param prefixes_count: number of different shared prefixes.
-    :param worth: score of a response in time; a late one has 0.3 of it.
+    :param worth: score of a response in time; a late one has a part of it.
+    :param declared_factor: largest number of output tokens that callers
+        declare, relative to those that are generated.
     """
 
     name: str
@@ -27,6 +35,7 @@
     objective_seconds: float
     deadline_seconds: float
     worth: float
+    declared_factor: int = 1
 
 
 # From the load specification of the users (the Workshops).
@@ -36,6 +45,15 @@
     RequestKind('quick-chat', 0.21, 172, 543, 282, 55, 0.3, 12.0, 0.83),
 )
 
+# Long answers to prompts of which most are shared, so that the memory of an
+# engine is full before its slots are used.
+SCARCE_MEMORY_KINDS: Final = (
+    RequestKind('long', 0.8, 6300, 2890, 400, 104, 0.8, 15.0, 3.0, 8),
+    RequestKind('middle', 0.1, 568, 1800, 400, 252, 0.6, 12.0, 2.0, 8),
+    RequestKind('chat', 0.1, 172, 543, 400, 55, 0.4, 15.0, 1.0, 8),
+)
+SCARCE_MEMORY_TOKENS: Final = 242_406
+
 
 @dataclass(frozen=True)
 class Pattern:
@@ -52,6 +70,13 @@
         pauses.
     :param leaving_engines_count: engines that say that they leave; they start
         again at the end of the faults.
+    :param kinds: of the requests.
+    :param memory_tokens: of an engine whose requests start as soon as their
+        prompt has room, None for one that starts them when all that they need
+        has room.
+    :param organisations_count: of equal size, 0 for the usual ones.
+    :param hot_count: organisations that send ``hot_factor`` times their usual.
+    :param late_worth_ratio: worth of a late response.
     """
 
     requests_per_second: float = 86.0
@@ -64,6 +89,11 @@
     lost_routers_count: int = 0
     paused_engines_count: int = 0
     leaving_engines_count: int = 0
+    kinds: tuple[RequestKind, ...] = REQUEST_KINDS
+    memory_tokens: int | None = None
+    organisations_count: int = 0
+    hot_count: int = 1
+    late_worth_ratio: float = 0.3
 
 
 PATTERNS: Final[dict[str, Pattern]] = {}
@@ -133,3 +163,33 @@
 def leaving_engine() -> Pattern:
     """Return a pattern with an engine that leaves and starts again."""
     return Pattern(leaving_engines_count=1)
+
+
+@_pattern
+def scarce_memory() -> Pattern:
+    """Return a pattern in which memory and not slots limits the engines."""
+    return Pattern(
+        requests_per_second=50,
+        kinds=SCARCE_MEMORY_KINDS,
+        memory_tokens=SCARCE_MEMORY_TOKENS,
+        organisations_count=30,
+        hot_factor=3.0,
+        hot_count=30,
+    )
+
+
+@_pattern
+def hot_organisations() -> Pattern:
+    """Return a pattern with 12 of 30 organisations at ten times their usual.
+
+    Memory limits the engines, and a late response is worth a tenth.
+    """
+    return Pattern(
+        requests_per_second=30,
+        kinds=SCARCE_MEMORY_KINDS,
+        memory_tokens=SCARCE_MEMORY_TOKENS,
+        organisations_count=30,
+        hot_factor=10.0,
+        hot_count=12,
+        late_worth_ratio=0.1,
+    )
--- a/emulator/policies.py
+++ b/emulator/policies.py
@@ -12,6 +12,7 @@
     Placement,
     PlacementRequest,
 )
+from dotterelhatch.core.enginememory import FinishedStream
 from dotterelhatch.core.fairshare import FairShareTracker
 from dotterelhatch.core.load import InFlightRequest, LoadTracker, TargetLoad
 from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
@@ -37,16 +38,11 @@
     TargetId,
 )
 from emulator.engine import MEMORY_TOKENS, SLOTS_COUNT
-from emulator.patterns import REQUEST_KINDS, RequestKind
+from emulator.patterns import Pattern, RequestKind
 
 __all__ = ('POLICIES', 'IncomingRequest', 'Policy')
 
-_SERVICE: Final = ServiceSpec(
-    ServiceId('usta-model'), EngineSpec(SLOTS_COUNT, MEMORY_TOKENS)
-)
-_SHORTEST_OBJECTIVE_SECONDS: Final = min(
-    kind.objective_seconds for kind in REQUEST_KINDS
-)
+_SERVICE: Final = ServiceId('usta-model')
 
 
 class IncomingRequest:
@@ -69,7 +65,7 @@
         self.prompt = Prompt(
             tuple(PromptPart(name, tokens) for name, tokens in parts),
             sum(tokens for _, tokens in parts),
-            kind.output_tokens,
+            kind.output_tokens * kind.declared_factor,
         )
 
     @property
@@ -137,7 +133,11 @@
     """Baseline: the engine with the fewest requests; never rejects any."""
 
     def __init__(
-        self, name: str, engines_count: int, rng: random.Random
+        self,
+        name: str,
+        engines_count: int,
+        rng: random.Random,
+        pattern: Pattern,
     ) -> None:
         """Start without requests."""
         self.name = RouterId(name)
@@ -188,11 +188,22 @@
     """Policy of the gateway, with its own sans-I/O classes."""
 
     def __init__(
-        self, name: str, engines_count: int, rng: random.Random
+        self,
+        name: str,
+        engines_count: int,
+        rng: random.Random,
+        pattern: Pattern,
     ) -> None:
         """Register the engines as targets."""
         self.name = RouterId(name)
         domain = FailureDomain('konya')
+        self._service = ServiceSpec(
+            _SERVICE,
+            EngineSpec(SLOTS_COUNT, pattern.memory_tokens or MEMORY_TOKENS),
+        )
+        self._shortest_objective_seconds = min(
+            kind.objective_seconds for kind in pattern.kinds
+        )
         self._entries = [
             _entry(index, domain) for index in range(engines_count)
         ]
@@ -210,7 +221,9 @@
             TargetLimits(RouterId('router'), dict),
             rng,
         )
-        self._in_flight: list[tuple[InFlightRequest, Placement]] = []
+        self._in_flight: list[
+            tuple[InFlightRequest, Placement, IncomingRequest]
+        ] = []
         self._sent: list[SentPrompt] = []
 
     def choose(
@@ -232,9 +245,10 @@
         target = chosen.entry.id
         in_flight = self._load_tracker.start(target, chosen.load, now_seconds)
         self._health.on_sent(target, now_seconds)
-        self._in_flight.append((in_flight, chosen))
+        self._in_flight.append((in_flight, chosen, request))
         sent = SentPrompt(target, request.prompt.parts, chosen.spare_tokens)
         self._balancer.cache.on_sent(sent)
+        self._balancer.memory.on_sent(sent, now_seconds)
         self._sent.append(sent)
         self._fair_shares.on_placed(
             request.organisation, request.tokens, now_seconds
@@ -253,13 +267,14 @@
                 other._window.on_report(self.name, counts, now_seconds)
                 for sent in self._sent:
                     other._balancer.cache.on_sent(sent)
+                    other._balancer.memory.on_sent(sent, now_seconds)
         self._sent.clear()
 
     def on_first_event(
         self, request_index: int, now_seconds: float, *, is_leaving: bool
     ) -> None:
         """Record the latency of the first event, and whether it leaves."""
-        in_flight, placement = self._in_flight[request_index]
+        in_flight, placement, _ = self._in_flight[request_index]
         in_flight.on_first_event()
         if is_leaving:
             self._registry.mark_leaving(placement.entry)
@@ -275,8 +290,17 @@
 
     def on_request_end(self, request_index: int, now_seconds: float) -> None:
         """Remove the request from the load of its engine."""
-        in_flight, _ = self._in_flight[request_index]
+        in_flight, _, request = self._in_flight[request_index]
         in_flight.end()
+        self._balancer.memory.on_finished(
+            FinishedStream(
+                _SERVICE,
+                request.kind.name,
+                request.prompt,
+                request.kind.output_tokens,
+                now_seconds - in_flight.started_seconds,
+            )
+        )
         self._health.on_ended(
             in_flight.target, AttemptOutcome.ANSWERED, now_seconds
         )
@@ -285,7 +309,7 @@
         self, request_index: int, pause_seconds: float, now_seconds: float
     ) -> None:
         """Keep to the pause."""
-        in_flight, placement = self._in_flight[request_index]
+        in_flight, placement, _ = self._in_flight[request_index]
         in_flight.end()
         self._health.on_ended(
             in_flight.target, AttemptOutcome.SHED, now_seconds
@@ -310,10 +334,10 @@
         kind = request.kind
         return PlacementRequest(
             route=_route(kind),
-            service=_SERVICE,
+            service=self._service,
             prompt=request.prompt,
             remaining_seconds=kind.deadline_seconds - request.age_seconds,
-            shortest_objective_seconds=_SHORTEST_OBJECTIVE_SECONDS,
+            shortest_objective_seconds=self._shortest_objective_seconds,
             factors=AdmissionFactors(
                 request.age_seconds,
                 self._fair_shares.fair_share_ratio(
@@ -328,7 +352,7 @@
 def _entry(index: int, domain: FailureDomain) -> TargetEntry:
     return TargetEntry(
         id=TargetId(f'm{index}'),
-        service=_SERVICE.id,
+        service=_SERVICE,
         address='10.0.0.1:80',
         failure_domain=domain,
         state=TargetState.READY,
@@ -344,5 +368,5 @@
         kind=RouteKind.STREAMING,
         timeout_seconds=kind.deadline_seconds,
         objective_seconds=kind.objective_seconds,
-        shares=(ServiceShare(_SERVICE.id, 1),),
+        shares=(ServiceShare(_SERVICE, 1),),
     )
--- a/emulator/simulation.py
+++ b/emulator/simulation.py
@@ -10,7 +10,7 @@
 
 from dotterelhatch.core.peers import heartbeat_interval_seconds
 from emulator.engine import Engine, EngineRequest
-from emulator.patterns import REQUEST_KINDS, Pattern, RequestKind
+from emulator.patterns import Pattern, RequestKind
 from emulator.policies import POLICIES, IncomingRequest, Policy
 
 __all__ = ('FleetSize', 'Outcome', 'Simulation')
@@ -21,7 +21,6 @@
 # The load of the patterns and their number of prompt prefixes are those of so
 # many engines.
 _PATTERN_ENGINES_COUNT: Final = 5
-_LATE_RESPONSE_WORTH_RATIO: Final = 0.3
 _RETRY_DELAY_RANGE_SECONDS: Final = (0.2, 0.8)
 _CALLER_LATENCY_SECONDS: Final = 0.008
 _PAUSE_SECONDS: Final = 2.0
@@ -47,6 +46,8 @@
     """Outcome of one request.
 
     :param sent_seconds: virtual time of the first attempt.
+    :param late_worth_ratio: worth of a late response.
+    :param own_tokens: length of the part that is unique to the request.
     :param first_event_seconds: time from the first attempt to the first event,
         None without one.
     """
@@ -54,6 +55,8 @@
     kind: RequestKind
     organisation: str
     sent_seconds: float
+    late_worth_ratio: float = 0.3
+    own_tokens: int = 0
     rejections_count: int = 0
     first_event_seconds: float | None = None
 
@@ -63,9 +66,7 @@
         if self.first_event_seconds is None:
             return 0.0
         in_time = self.first_event_seconds <= self.kind.objective_seconds
-        return self.kind.worth * (
-            1.0 if in_time else _LATE_RESPONSE_WORTH_RATIO
-        )
+        return self.kind.worth * (1.0 if in_time else self.late_worth_ratio)
 
 
 @dataclass
@@ -105,13 +106,16 @@
         self.outcomes: list[Outcome] = []
         # Time and engine of each request that an engine received.
         self.sends: list[tuple[float, int]] = []
-        self.engines = [Engine() for _ in range(size.engines_count)]
+        self.engines = [_engine(pattern) for _ in range(size.engines_count)]
         self._pattern = pattern
         self._size = size
         self._rng = random.Random(seed)
         self._routers = [
             POLICIES[policy](
-                f'r{index}', size.engines_count, random.Random(seed + index)
+                f'r{index}',
+                size.engines_count,
+                random.Random(seed + index),
+                pattern,
             )
             for index in range(size.routers_count)
         ]
@@ -125,6 +129,8 @@
         self._arrival_seconds = 0.0
         weights = [1.8**-index for index in range(ORGANISATIONS_COUNT)]
         self._weights = [max(weight, 0.01) for weight in weights]
+        if pattern.organisations_count:
+            self._weights = [1.0] * pattern.organisations_count
 
     def run(
         self, seconds: float, on_second: Callable[[int], None] = lambda _: None
@@ -167,15 +173,22 @@
 
     def _arrive(self) -> None:
         pattern = self._pattern
-        kind = self._rng.choices(REQUEST_KINDS, self._kind_weights())[0]
-        outcome = Outcome(kind, self._organisation(), self._now_seconds)
+        kind = self._rng.choices(pattern.kinds, self._kind_weights())[0]
+        outcome = Outcome(
+            kind,
+            self._organisation(),
+            self._now_seconds,
+            pattern.late_worth_ratio,
+        )
         self.outcomes.append(outcome)
         parts = self._parts(kind)
+        outcome.own_tokens = parts[-1][1]
         self._send(outcome, parts, retries_left=1)
         rate = pattern.requests_per_second * sum(self._kind_weights())
         rate *= self._size.load_factor
         if self._in_fault_period:
-            hot_share = self._weights[0] / sum(self._weights)
+            hot_weight = sum(self._weights[: pattern.hot_count])
+            hot_share = hot_weight / sum(self._weights)
             rate *= 1 + hot_share * (pattern.hot_factor - 1)
         # From the time of the last arrival, which is up to a tick ago.
         self._arrival_seconds += self._rng.expovariate(rate)
@@ -184,7 +197,7 @@
     def _kind_weights(self) -> list[float]:
         pattern = self._pattern
         weights = []
-        for kind in REQUEST_KINDS:
+        for kind in pattern.kinds:
             is_affected = pattern.burst_kind in {None, kind.name}
             factor = (
                 pattern.burst_factor
@@ -197,8 +210,9 @@
     def _organisation(self) -> str:
         weights = list(self._weights)
         if self._in_fault_period:
-            weights[0] *= self._pattern.hot_factor
-        index = self._rng.choices(range(ORGANISATIONS_COUNT), weights)[0]
+            for hot in range(self._pattern.hot_count):
+                weights[hot] *= self._pattern.hot_factor
+        index = self._rng.choices(range(len(weights)), weights)[0]
         return f'org-{index}'
 
     def _parts(self, kind: RequestKind) -> tuple[tuple[str, int], ...]:
@@ -314,3 +328,9 @@
             self._heartbeat_seconds,
             functools.partial(self._send_heartbeats, router),
         )
+
+
+def _engine(pattern: Pattern) -> Engine:
+    if pattern.memory_tokens is None:
+        return Engine()
+    return Engine(memory_tokens=pattern.memory_tokens, grows=True)
--- a/src/dotterelhatch/core/admission.py
+++ b/src/dotterelhatch/core/admission.py
@@ -35,6 +35,7 @@
     'AdmissionCounts',
     'AdmissionFactors',
     'AdmissionWindow',
+    'memory_limit_share',
     'share_limit_factor',
     'wait_limit_seconds',
 )
@@ -62,6 +63,13 @@
 _REDUCTION_START_SHARE: Final = 0.9
 _REDUCTION_END_SHARE: Final = 1.4
 _MIN_SHARE_FACTOR: Final = 0.0
+# Share of the memory of an engine that its running requests may use. The loads
+# of other routers are a heartbeat old, and answers may be longer than expected.
+_MAX_MEMORY_SHARE: Final = 0.9
+# Shares under overload for organisations above their fair share, and for
+# requests that will be late.
+_MIN_MEMORY_SHARE: Final = 0.6
+_LATE_MEMORY_SHARE: Final = 0.75
 # Bounds of the correction between the routes of a service.
 _MIN_ROUTE_FACTOR: Final = 0.6
 _MAX_ROUTE_FACTOR: Final = 1.4
@@ -142,6 +150,32 @@
     )
 
 
+def memory_limit_share(
+    factors: AdmissionFactors, *, is_late: bool, is_continued: bool
+) -> float:
+    """Return the share of the memory of an engine that a request may use up to.
+
+    When the memory is scarce, organisations above their fair share get what
+    the others leave free, and then requests that will be late get what those
+    in time leave free.
+
+    :param is_late: whether the response will exceed the objective.
+    :param is_continued: whether the request was admitted before and has lost
+        its target.
+    """
+    if is_continued:
+        return 1.0
+    share = _interpolate(
+        _MIN_MEMORY_SHARE, _MAX_MEMORY_SHARE, share_limit_factor(factors)
+    )
+    if is_late:
+        late_share = _interpolate(
+            _MAX_MEMORY_SHARE, _LATE_MEMORY_SHARE, factors.overload_level
+        )
+        share = min(share, late_share)
+    return share
+
+
 def _interpolate(relaxed: float, strict: float, weight: float) -> float:
     return relaxed + (strict - relaxed) * weight
 
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -15,6 +15,7 @@
 
 from dotterelhatch.core.admission import (
     AdmissionFactors,
+    memory_limit_share,
     share_limit_factor,
     wait_limit_seconds,
 )
@@ -24,10 +25,12 @@
     rendezvous,
     spare_last,
 )
+from dotterelhatch.core.enginememory import EngineMemory, MemoryRoom
 from dotterelhatch.core.load import LoadTracker, TargetLoad
 from dotterelhatch.core.prompts import (
     DEFAULT_PREFIXES_COUNT,
     PrefixCacheEstimate,
+    PrefixKey,
     Prompt,
 )
 from dotterelhatch.core.registry import TargetEntry, TargetRegistry
@@ -81,6 +84,13 @@
 _PAUSE_JITTER_RATIO: Final = 0.25
 # Targets that crashed start again within seconds.
 _SPARED_RETRY_AFTER_SECONDS: Final = 1.0
+# Targets that are searched for memory when none of the selected ones has any,
+# and those with memory that are compared.
+_MAX_SCANNED_COUNT: Final = 64
+_MAX_ROOMY_COUNT: Final = 3
+# How long a search without result is not repeated. Loads of other routers are
+# at least as old.
+_FULL_LIFETIME_SECONDS: Final = 0.02
 # Longest queue of a plain target, in multiples of its slots, that still drains
 # within the deadlines of callers.
 _MAX_PLAIN_QUEUE_FACTOR: Final = 4.0
@@ -113,6 +123,7 @@
     :param isolation_key: requests with the same key go to the same target,
         because they may crash it.
     :param down_targets: targets that have crashed and may not be back yet.
+    :param is_continued: whether the request was sent to a target before.
     """
 
     route: RouteRule
@@ -123,6 +134,7 @@
     factors: AdmissionFactors = AdmissionFactors()
     isolation_key: str | None = None
     down_targets: frozenset[TargetId] = frozenset()
+    is_continued: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +147,7 @@
     :param cached_tokens: prompt tokens that the target has cached.
     :param spare_tokens: memory of the target that running requests leave to
         its cache.
+    :param room: memory of the target, None where it limits nothing.
     """
 
     entry: TargetEntry
@@ -143,6 +156,7 @@
     expected_seconds: float
     cached_tokens: int
     spare_tokens: int = 0
+    room: MemoryRoom | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,14 +166,18 @@
     :param reason: short text for logs and error messages.
     :param retry_after_seconds: when the caller should send the request again.
     :param wait_seconds: the shortest predicted wait, None without a target.
+    :param room: memory of the target that can take the request first, None
+        for another reason.
     """
 
+    NO_MEMORY: ClassVar[str] = 'no_memory'
     NO_TARGET: ClassVar[str] = 'no_target'
     CRASH_SUSPECT: ClassVar[str] = 'crash_suspect'
 
     reason: str
     retry_after_seconds: float
     wait_seconds: float | None = None
+    room: MemoryRoom | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +186,21 @@
     placement: Placement
 
 
+@dataclass(frozen=True, slots=True)
+class _PromptNeeds:
+    """What a prompt needs of a target.
+
+    :param prefixes: the result of :meth:`Prompt.prefixes`.
+    :param own_tokens: expected need of memory without shared parts, None
+        where memory limits nothing.
+    """
+
+    engine: EngineSpec
+    prompt: Prompt
+    prefixes: list[tuple[PrefixKey, int]]
+    own_tokens: int | None
+
+
 class Balancer:
     """Selects targets for requests.
 
@@ -192,12 +225,15 @@
         """Create a balancer without measurements."""
         self.cache = PrefixCacheEstimate(settings.max_prefixes_count)
         self.pauses = TargetPauses()
+        self.memory = EngineMemory(settings.max_prefixes_count)
         self._settings = settings
         self._registry = registry
         self._loads = loads
         self._health = health
         self._limits = limits
         self._rng = rng
+        # Share for which no target of a service had memory, and until when.
+        self._full: dict[ServiceId, tuple[float, float]] = {}
         self._plain_seconds = _INITIAL_PLAIN_SECONDS
         self._selector = CandidateSelector(
             registry, self.cache, self.pauses, rng
@@ -227,8 +263,12 @@
         if engine is None or request.prompt is None:
             chosen = self._place_plain(request, entries)
         else:
-            chosen = self._place_prompt(
-                request, engine, request.prompt, entries
+            chosen = self._reject_early(request, entries) or self._find_place(
+                request,
+                self._needs(request, engine, request.prompt, now_seconds),
+                entries,
+                excluded,
+                now_seconds,
             )
         if isinstance(chosen, Placement):
             self._limits.on_placed(chosen.entry, now_seconds)
@@ -406,29 +446,69 @@
         )
         return _Candidate(score, placement)
 
-    def _place_prompt(
+    def _needs(
         self,
         request: PlacementRequest,
         engine: EngineSpec,
         prompt: Prompt,
+        now_seconds: float,
+    ) -> _PromptNeeds:
+        """Return what a prompt needs of a target."""
+        own_tokens = None
+        ready = self._registry.ready(request.service.id)
+        if self.memory.is_limiting(
+            request.service.id, engine, ready, now_seconds
+        ):
+            own_tokens = self.memory.own_tokens(request.route.name, prompt)
+        return _PromptNeeds(engine, prompt, prompt.prefixes(), own_tokens)
+
+    def _find_place(
+        self,
+        request: PlacementRequest,
+        needs: _PromptNeeds,
         entries: Sequence[TargetEntry],
+        excluded: Collection[TargetId],
+        now_seconds: float,
     ) -> Placement | Rejection:
-        rejection = self._reject_early(request, entries)
-        if rejection is not None:
-            return rejection
-        preferred = self._selector.preferred(request.service.id, prompt)
+        """Place a prompt, at other targets if the selected ones are full."""
+        chosen = self._place_prompt(request, needs, entries)
+        if isinstance(chosen, Placement) or chosen.room is None:
+            return chosen
+        tried = {entry.id for entry in entries}
+        others = self._find_roomy(
+            request, needs, tried.union(excluded), now_seconds
+        )
+        if not others:
+            return chosen
+        return self._place_prompt(request, needs, others)
+
+    def _place_prompt(
+        self,
+        request: PlacementRequest,
+        needs: _PromptNeeds,
+        entries: Sequence[TargetEntry],
+    ) -> Placement | Rejection:
+        preferred = self._selector.preferred(request.service.id, needs.prompt)
         ranks = {entry.id: rank for rank, entry in enumerate(preferred)}
-        prefixes = prompt.prefixes()
         candidates = [
             self._prompt_candidate(
+                request.service.id,
                 entry,
                 ranks.get(entry.id, PREFERRED_COUNT),
-                engine,
-                prompt,
-                self.cache.cached_tokens(entry.id, prefixes),
+                needs,
             )
             for entry in entries
         ]
+        roomy = [one for one in candidates if _has_room(request, one.placement)]
+        if not roomy:
+            return self._reject_without_memory(
+                request, [one.placement for one in candidates]
+            )
+        return self._place_in_time(request, roomy)
+
+    def _place_in_time(
+        self, request: PlacementRequest, candidates: list[_Candidate]
+    ) -> Placement | Rejection:
         candidates.sort(key=lambda candidate: candidate.score_seconds)
         max_cached_tokens = max(
             candidate.placement.cached_tokens for candidate in candidates
@@ -449,6 +529,83 @@
             shortest.wait_seconds, self._limit_seconds(request, shortest)
         )
 
+    def _find_roomy(
+        self,
+        request: PlacementRequest,
+        needs: _PromptNeeds,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> list[TargetEntry]:
+        """Return targets with memory for a request that others lack.
+
+        Only few targets are compared for a prompt, and these may be full while
+        others are not. When no target has memory, it is not searched again for
+        a short time, because a flood would make each router search all.
+        """
+        service = request.service.id
+        share = _memory_share(request, is_late=False)
+        if request.isolation_key or self._is_full(service, share, now_seconds):
+            return []
+        ready = self._registry.ready(service)
+        count = min(len(ready), _MAX_SCANNED_COUNT)
+        roomy: list[TargetEntry] = []
+        for entry in self._rng.sample(ready, count):
+            room = self._room(service, entry, needs)
+            if room is None or not room.fits(share):
+                continue
+            roomy.extend(self._usable(request, (entry,), excluded, now_seconds))
+            if len(roomy) == _MAX_ROOMY_COUNT:
+                break
+        if not roomy:
+            self._full[service] = (share, now_seconds + _FULL_LIFETIME_SECONDS)
+        return roomy
+
+    def _is_full(
+        self, service: ServiceId, share: float, now_seconds: float
+    ) -> bool:
+        """Return whether a search for memory has just found no target."""
+        full_share, until_seconds = self._full.get(service, (0.0, 0.0))
+        return share <= full_share and now_seconds < until_seconds
+
+    def _room(
+        self, service: ServiceId, entry: TargetEntry, needs: _PromptNeeds
+    ) -> MemoryRoom | None:
+        """Return the memory of a target, None where it limits nothing."""
+        if needs.own_tokens is None:
+            return None
+        return self.memory.room(
+            service,
+            needs.engine,
+            entry.id,
+            self._loads.total(entry.id),
+            needs.prefixes,
+            needs.own_tokens,
+        )
+
+    def _reject_without_memory(
+        self, request: PlacementRequest, placements: Iterable[Placement]
+    ) -> Rejection:
+        """Reject a request until the first target has memory for it."""
+        waits = [
+            (
+                self.memory.seconds_until_free(
+                    request.service.id,
+                    placement.room,
+                    _placement_share(request, placement),
+                ),
+                placement,
+            )
+            for placement in placements
+            if placement.room is not None
+        ]
+        wait_seconds, first = min(waits, key=lambda wait: wait[0])
+        return Rejection(
+            Rejection.NO_MEMORY,
+            self._add_jitter(max(wait_seconds, _MIN_RETRY_AFTER_SECONDS)),
+            first.wait_seconds,
+            first.room,
+        )
+
     def _reject_early(
         self, request: PlacementRequest, entries: Sequence[TargetEntry]
     ) -> Rejection | None:
@@ -506,25 +663,30 @@
 
     def _prompt_candidate(
         self,
+        service: ServiceId,
         entry: TargetEntry,
         rank: int,
-        engine: EngineSpec,
-        prompt: Prompt,
-        cached_tokens: int,
+        needs: _PromptNeeds,
     ) -> _Candidate:
+        engine = needs.engine
+        prompt = needs.prompt
         load = self._loads.total(entry.id)
+        cached_tokens = self.cache.cached_tokens(entry.id, needs.prefixes)
         unread_tokens = max(0, prompt.input_tokens - cached_tokens)
         rate = _PREFILL_TOKENS_PER_SECOND / self._health.latency_ratio(entry.id)
         wait_seconds = load.unread_tokens / rate
         if load.requests_count >= engine.slots_count:
             wait_seconds += _CAPACITY_PENALTY_SECONDS
         prefill_seconds = unread_tokens / rate
-        memory_tokens = prompt.input_tokens + prompt.max_output_tokens
         score = wait_seconds + _PREFILL_WEIGHT * prefill_seconds
         score += self._penalty_seconds(entry)
         score += _RANK_PENALTY_SECONDS * rank
+        memory_tokens = prompt.input_tokens + prompt.max_output_tokens
         used_tokens = load.memory_tokens + memory_tokens
-        if used_tokens > engine.memory_tokens * _MAX_MEMORY_SHARE:
+        room = self._room(service, entry, needs)
+        if room is not None:
+            used_tokens = room.used_tokens + room.need_tokens
+        elif used_tokens > engine.memory_tokens * _MAX_MEMORY_SHARE:
             score += _CAPACITY_PENALTY_SECONDS
         placement = Placement(
             entry,
@@ -533,6 +695,7 @@
             _FIRST_EVENT_SECONDS + wait_seconds + prefill_seconds,
             cached_tokens,
             max(0, engine.memory_tokens - used_tokens),
+            room,
         )
         return _Candidate(score, placement)
 
@@ -560,3 +723,26 @@
             spread_seconds, _RETRY_AFTER_JITTER_SECONDS
         )
         return round(seconds + jitter, 2)
+
+
+def _is_late(request: PlacementRequest, placement: Placement) -> bool:
+    """Return whether the response will exceed the objective."""
+    expected_seconds = request.factors.age_seconds + placement.expected_seconds
+    return expected_seconds > request.route.objective_seconds
+
+
+def _memory_share(request: PlacementRequest, *, is_late: bool) -> float:
+    return memory_limit_share(
+        request.factors, is_late=is_late, is_continued=request.is_continued
+    )
+
+
+def _placement_share(request: PlacementRequest, placement: Placement) -> float:
+    return _memory_share(request, is_late=_is_late(request, placement))
+
+
+def _has_room(request: PlacementRequest, placement: Placement) -> bool:
+    """Return whether the memory of a target does not exclude it."""
+    return placement.room is None or placement.room.fits(
+        _placement_share(request, placement)
+    )
--- a/src/dotterelhatch/core/prompts.py
+++ b/src/dotterelhatch/core/prompts.py
@@ -13,11 +13,13 @@
     'CACHED_PREFIX_BYTES',
     'DEFAULT_PREFIXES_COUNT',
     'PrefixCacheEstimate',
+    'PrefixKey',
     'Prompt',
     'PromptPart',
     'PromptReports',
     'SentPrompt',
     'limit_parts',
+    'prefix_keys',
 )
 
 # A generated token takes about twice the time of a prompt token.
@@ -85,7 +87,7 @@
 
     def prefixes(self) -> list[tuple[PrefixKey, int]]:
         """Return, for each prefix, its key and the tokens of its last part."""
-        return _prefixes(self.parts)
+        return prefix_keys(self.parts)
 
 
 def limit_parts(parts: Sequence[PromptPart]) -> tuple[PromptPart, ...]:
@@ -124,7 +126,7 @@
     return digest.hexdigest()
 
 
-def _prefixes(parts: tuple[PromptPart, ...]) -> list[tuple[PrefixKey, int]]:
+def prefix_keys(parts: Sequence[PromptPart]) -> list[tuple[PrefixKey, int]]:
     """Key each part with all parts before it.
 
     A part is only usable from the cache behind the same preceding parts. The
@@ -238,7 +240,7 @@
 
         :param max_count: limit on the number of returned targets.
         """
-        shared = _prefixes(prompt.shared_parts)
+        shared = prefix_keys(prompt.shared_parts)
         if not shared:
             return []
         holders = self._holders.get(shared[-1][0], {})
@@ -250,7 +252,7 @@
         cached = self._cached.setdefault(target, OrderedDict())
         self._totals.setdefault(target, 0)
         former_count = len(cached)
-        for prefix, tokens in _prefixes(sent.parts):
+        for prefix, tokens in prefix_keys(sent.parts):
             self._totals[target] += tokens - cached.pop(prefix, 0)
             cached[prefix] = tokens
             holders = self._holders.setdefault(prefix, {})
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -13,6 +13,7 @@
     CrashVerdict,
     format_cause,
 )
+from dotterelhatch.core.enginememory import FinishedStream, MemoryRoom
 from dotterelhatch.core.fairshare import UsageSample
 from dotterelhatch.core.prompts import SentPrompt
 from dotterelhatch.core.targethealth import AttemptOutcome
@@ -226,6 +227,7 @@
             )
             if isolation_key
             else frozenset(),
+            is_continued=self._request.history.sends_count > 0,
         )
 
     def _isolation_key(self) -> str | None:
@@ -281,9 +283,10 @@
                 admitted=not isinstance(chosen, Rejection),
             )
         if isinstance(chosen, Rejection):
-            self._request.decision_facts = _admission_facts(
-                placement_request, self._routed
-            )
+            self._request.decision_facts = {
+                **_admission_facts(placement_request, self._routed),
+                **_memory_facts(chosen.room),
+            }
             state.rejected_requests.on_rejected(
                 self._routed.fingerprint, self._request.received_seconds
             )
@@ -300,6 +303,7 @@
             unread_tokens=chosen.load.unread_tokens,
             kept_tokens=chosen.cached_tokens,
             **_admission_facts(placement_request, self._routed),
+            **_memory_facts(chosen.room),
             **self._suspicion_facts(),
             attempt=self._request.history.sends_count + 1,
             table_version=state.table.version if state.table else None,
@@ -643,6 +647,29 @@
 
         await relay.relay_stream(response, on_chunk)
         attempt.outcome = AttemptOutcome.ANSWERED
+        self._learn_memory(attempt, relay)
+
+    def _learn_memory(self, attempt: Attempt, relay: Relay) -> None:
+        """Learn the memory that a stream needed from one whole attempt.
+
+        A stream that goes on after a part of it shows neither its length nor
+        its time.
+        """
+        routed = self._routed
+        prompt = routed.metadata.prompt
+        if prompt is None or routed.service.engine is None:
+            return
+        is_whole = routed.metadata.last_event_id is None
+        if is_whole and self._request.history.possible_executions_count == 1:
+            self._state.balancer.memory.on_finished(
+                FinishedStream(
+                    routed.service.id,
+                    routed.route.name,
+                    prompt,
+                    relay.events_count,
+                    self._state.clock() - attempt.started_seconds,
+                )
+            )
 
     def _after_shed(
         self, attempt: Attempt, response: TargetResponse
@@ -790,3 +817,14 @@
         'pressure': round(factors.rejection_rate, 2),
         'kind_share': round(factors.route_admission_ratio, 2),
     }
+
+
+def _memory_facts(room: MemoryRoom | None) -> dict[str, Any]:
+    """Return the memory of the target where it limits the requests."""
+    if room is None:
+        return {}
+    return {
+        'memory_need': room.need_tokens,
+        'memory_used': room.used_tokens,
+        'memory_capacity': room.capacity_tokens,
+    }
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -158,6 +158,12 @@
             namespace=_NAMESPACE,
             registry=registry,
         )
+        self.memory_limited_services = Gauge(
+            'memory_limited_services',
+            'Services whose engines have memory for fewer requests than slots.',
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.lapsed_targets = Gauge(
             'lapsed_targets',
             'Targets in use whose entries have expired in an outage.',
--- a/src/dotterelhatch/gateway/relay.py
+++ b/src/dotterelhatch/gateway/relay.py
@@ -57,6 +57,12 @@
         self._exchange = exchange
         self._is_resumable = route.is_resumable
         self._splitter = EventSplitter()
+        self._events_count = 0
+
+    @property
+    def events_count(self) -> int:
+        """Return the events that have arrived, of all attempts."""
+        return self._events_count
 
     @property
     def last_event_id(self) -> str | None:
@@ -105,6 +111,7 @@
         tail = b''
         while chunk := await response.read_chunk():
             on_chunk()
+            self._events_count += _count_ends(tail, chunk)
             tail = (tail + chunk)[-_MAX_BLANK_LINE_BYTES:]
             content = self._complete_events(chunk)
             await self._send_held(response, content)
@@ -161,3 +168,17 @@
 
 def _without_content_length(headers: Headers) -> Headers:
     return tuple(pair for pair in headers if pair[0].lower() != _CONTENT_LENGTH)
+
+
+def _count_ends(tail: bytes, chunk: bytes) -> int:
+    """Return how many events end in a chunk.
+
+    :param tail: end of what arrived before it.
+    """
+    for blank_line in _BLANK_LINES:
+        # An end that is whole in the tail has been counted before.
+        before = tail[1 - len(blank_line) :]
+        count = (before + chunk).count(blank_line)
+        if count:
+            return count
+    return 0
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -126,6 +126,9 @@
         self.metrics.cached_prefixes.set_function(
             lambda: self.balancer.cache.prefixes_count
         )
+        self.metrics.memory_limited_services.set_function(
+            lambda: self.balancer.memory.limiting_count
+        )
         self.metrics.request_body_bytes.set_function(
             lambda: self.request_bodies.total_bytes
         )
@@ -311,6 +314,7 @@
         """
         if self.registry.is_known(sent.target):
             self.balancer.cache.on_sent(sent)
+            self.balancer.memory.on_sent(sent, self.clock())
 
     def on_totals(self, router: RouterId, totals: WindowTotals) -> None:
         """Apply the window totals of a peer."""
@@ -447,7 +451,9 @@
         if known is not None and known.version >= table.version:
             return
         self.table = table
-        self.durations.retain(frozenset(route.name for route in table.routes))
+        route_names = frozenset(route.name for route in table.routes)
+        self.durations.retain(route_names)
+        self.balancer.memory.retain(table.services.keys(), route_names)
         log_decision(
             Decision.TABLE_CHANGED,
             version=table.version,
--- /dev/null
+++ b/tests/test_enginememory.py
@@ -0,0 +1,267 @@
+"""Tests of placement by the memory that running requests need."""
+
+from dataclasses import replace
+
+import pytest
+
+from dotterelhatch.core.admission import AdmissionFactors, memory_limit_share
+from dotterelhatch.core.balancer import Placement, Rejection
+from dotterelhatch.core.enginememory import EngineMemory, FinishedStream
+from dotterelhatch.core.load import TargetLoad
+from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
+from dotterelhatch.core.routes import EngineSpec
+from dotterelhatch.ids import RouterId, TargetId
+from tests.test_balancer import (
+    ENGINE,
+    MODEL,
+    Fixture,
+    make_request,
+)
+
+SCARCE = EngineSpec(slots_count=64, memory_tokens=100_000)
+TARGET = TargetId('m0')
+TARGETS = [TargetId(f'm{one}') for one in range(5)]
+
+
+def _prompt(
+    number: int = 0, own_tokens: int = 2890, output: int = 800
+) -> Prompt:
+    parts = (
+        PromptPart('thing', 6300),
+        PromptPart(f'own-{number}', own_tokens),
+    )
+    return Prompt(parts, 6300 + own_tokens, output)
+
+
+def _finished(
+    one: Prompt, generated_tokens: int, seconds: float = 2.0
+) -> FinishedStream:
+    return FinishedStream(MODEL, 'r', one, generated_tokens, seconds)
+
+
+def _learn(memory: EngineMemory, count: int = 40) -> None:
+    """Finish streams that generate a tenth of what they declare."""
+    for number in range(count):
+        one = _prompt(number, 2000 + number % 9 * 222)
+        memory.on_finished(_finished(one, 80))
+
+
+def _learned_fixture(seed: int = 1) -> Fixture:
+    fixture = Fixture(seed)
+    _learn(fixture.balancer.memory)
+    return fixture
+
+
+def _place(
+    fixture: Fixture,
+    number: int,
+    *,
+    is_continued: bool = False,
+    engine: EngineSpec = SCARCE,
+    **factors: float,
+) -> Placement | Rejection:
+    """Place a request whose prompt is read at once."""
+    one = _prompt(number)
+    request = make_request(one, **factors)
+    request = replace(
+        request,
+        service=replace(request.service, engine=engine),
+        is_continued=is_continued,
+    )
+    chosen = fixture.balancer.place(request, (), number / 1000)
+    if isinstance(chosen, Placement):
+        target = chosen.entry.id
+        fixture.loads.start(target, chosen.load, 0).on_first_event()
+        sent = SentPrompt(target, one.parts, chosen.spare_tokens)
+        fixture.balancer.cache.on_sent(sent)
+        fixture.balancer.memory.on_sent(sent, number / 1000)
+    return chosen
+
+
+def test_requests_beyond_the_memory_are_rejected_at_once() -> None:
+    """Guards against requests that preempt others in the middle of a stream.
+
+    Each engine has memory for about 30 requests and slots for 64. Of 300
+    requests at once those beyond the memory are rejected, and told to return
+    when a part of the running ones has ended.
+    """
+    fixture = _learned_fixture()
+    outcomes = [_place(fixture, number) for number in range(300)]
+    rejected = [one for one in outcomes if isinstance(one, Rejection)]
+    for target in TARGETS:
+        running_count = fixture.loads.total(target).requests_count
+        assert 20 <= running_count <= 33
+    assert {one.reason for one in rejected} == {Rejection.NO_MEMORY}
+    assert all(0.2 <= one.retry_after_seconds < 2.0 for one in rejected)
+    assert all(one.room is not None for one in rejected)
+
+
+def test_declared_lengths_do_not_count() -> None:
+    """Guards against engines that are left half empty.
+
+    Callers declare ten times the tokens that are generated.
+    """
+    memory = EngineMemory()
+    one = _prompt(own_tokens=2000, output=20_000)
+    assert memory.own_tokens('r', one) == 22_000
+    for _ in range(40):
+        memory.on_finished(_finished(one, 2000))
+    assert memory.own_tokens('r', one) == pytest.approx(4000, rel=0.05)
+    assert memory.own_tokens('another', one) == 22_000
+
+
+def test_few_streams_decide_nothing() -> None:
+    """Guards against a limit that follows the first few streams."""
+    fixture = Fixture()
+    _learn(fixture.balancer.memory, count=10)
+    outcomes = [_place(fixture, number) for number in range(200)]
+    assert all(isinstance(one, Placement) for one in outcomes)
+    assert not fixture.balancer.memory.limiting_count
+
+
+def test_answers_of_uneven_length_take_more_than_their_mean() -> None:
+    """Guards against engines that are full as some answers are long."""
+    memory = EngineMemory()
+    one = _prompt(own_tokens=0, output=1000)
+    for number in range(400):
+        memory.on_finished(_finished(one, 900 if number % 4 == 0 else 100))
+    assert 450 < memory.own_tokens('r', one) <= 1000
+
+
+def test_shared_parts_count_once_for_each_target() -> None:
+    """Guards against rejections while an engine has memory.
+
+    Requests about one document have its tokens in memory once, whichever router
+    sent them.
+    """
+    memory = EngineMemory()
+    _learn(memory)
+    one = _prompt()
+    load = TargetLoad(3, 0, 3 * (one.input_tokens + one.max_output_tokens))
+    rooms = []
+    for count in range(3):
+        rooms.append(
+            memory.room(MODEL, SCARCE, TARGET, load, one.prefixes(), 3000)
+        )
+        memory.on_sent(SentPrompt(TARGET, one.parts, 0), count / 10)
+    without, once, twice = rooms
+    assert without.need_tokens == 9300
+    assert once.need_tokens == twice.need_tokens == 3000
+    assert once.used_tokens == twice.used_tokens
+    assert once.used_tokens == without.used_tokens + 6300
+
+
+def test_shared_parts_of_ended_requests_do_not_count() -> None:
+    """Guards against memory that seems used long after its requests ended."""
+    memory = EngineMemory()
+    _learn(memory)
+    one = _prompt()
+    memory.on_sent(SentPrompt(TARGET, one.parts, 0), 0)
+    other = SentPrompt(TargetId('m1'), one.parts, 0)
+    memory.on_sent(other, 10)
+    load = TargetLoad(1, 0, 10_000)
+    room = memory.room(MODEL, SCARCE, TARGET, load, one.prefixes(), 3000)
+    assert room.need_tokens == 9300
+
+
+def test_what_is_kept_of_shared_parts_is_limited() -> None:
+    """Guards against memory of a router that callers fill with part ids."""
+    memory = EngineMemory(max_parts_count=100)
+    _learn(memory)
+    for number in range(1000):
+        parts = (PromptPart(f'part-{number}', 10), PromptPart('own', 1))
+        memory.on_sent(SentPrompt(TARGET, parts, 0), 0)
+    assert len(memory._shared) == 100
+    assert memory._shared_tokens == {TARGET: 1000}
+
+
+def test_the_load_of_a_lost_router_expires() -> None:
+    """Guards against engines that stay full for a router that was lost.
+
+    A peer reports engines full of its requests, and is lost halfway through
+    them.
+    """
+    fixture = _learned_fixture()
+    full = TargetLoad(32, 0, 32 * 10_000)
+    fixture.loads.on_report(RouterId('r2'), dict.fromkeys(TARGETS, full), 0)
+    chosen = _place(fixture, 0)
+    assert isinstance(chosen, Rejection)
+    assert chosen.reason == Rejection.NO_MEMORY
+    fixture.loads.on_report(RouterId('r3'), {}, 2.5)
+    assert isinstance(_place(fixture, 2500), Placement)
+
+
+def test_where_slots_bind_memory_excludes_no_target() -> None:
+    """Guards against changes where engines have memory for all their slots."""
+    learned = _learned_fixture()
+    unlearned = Fixture()
+    for number in range(300):
+        after = _place(learned, number, engine=ENGINE)
+        before = _place(unlearned, number, engine=ENGINE)
+        assert after == before
+    assert not learned.balancer.memory.limiting_count
+
+
+def test_an_idle_target_takes_a_request_of_any_size() -> None:
+    """Guards against a long prompt that no target ever takes."""
+    fixture = _learned_fixture()
+    one = _prompt(own_tokens=95_000)
+    request = make_request(one)
+    request = replace(request, service=replace(request.service, engine=SCARCE))
+    assert isinstance(fixture.balancer.place(request, (), 0), Placement)
+
+
+def test_a_full_selection_does_not_hide_a_target_with_memory() -> None:
+    """Guards against a rejection while one of many targets has memory.
+
+    In a large fleet few targets are compared for a prompt.
+    """
+    memory = EngineMemory()
+    _learn(memory)
+    fixture = _learned_fixture()
+    entries = [
+        replace(fixture.registry.ready(MODEL)[0], id=TargetId(f'm{one}'))
+        for one in range(40)
+    ]
+    fixture.registry.apply(entries, 0)
+    full = TargetLoad(32, 0, 32 * 10_000)
+    for entry in entries[:-1]:
+        fixture.loads.add(entry.id, full)
+    chosen = _place(fixture, 0)
+    assert isinstance(chosen, Placement)
+    assert chosen.entry.id == entries[-1].id
+
+
+def test_an_organisation_above_its_share_gets_what_others_leave() -> None:
+    """Guards against memory that is full of one organisation's requests.
+
+    Under overload an organisation far above its max-min share is rejected
+    while one below it still gets memory, and so is a late request.
+    """
+    fixture = _learned_fixture()
+    large = {'rejection_rate': 0.5, 'fair_share_ratio': 1.2}
+    small = {'rejection_rate': 0.5, 'fair_share_ratio': 0.5}
+    number = 0
+    while isinstance(_place(fixture, number, **large), Placement):
+        number += 1
+    assert number > 50
+    late = _place(fixture, number + 1, age_seconds=3, **small)
+    in_time = _place(fixture, number + 2, **small)
+    assert isinstance(late, Placement)
+    assert isinstance(in_time, Placement)
+    while isinstance(
+        _place(fixture, number, age_seconds=3, **small), Placement
+    ):
+        number += 1
+    assert isinstance(_place(fixture, number + 1, **small), Placement)
+
+
+def test_a_request_that_lost_its_target_may_use_all_memory() -> None:
+    """Guards against streams that break off as their targets have crashed."""
+    factors = AdmissionFactors(rejection_rate=1, fair_share_ratio=2)
+    assert memory_limit_share(factors, is_late=True, is_continued=True) == 1
+    fixture = _learned_fixture()
+    number = 0
+    while isinstance(_place(fixture, number), Placement):
+        number += 1
+    assert isinstance(_place(fixture, number, is_continued=True), Placement)
