--- a/tests/test_enginememory.py
+++ b/tests/test_enginememory.py
@@ -1,5 +1,6 @@
 """Tests of placement by the memory that running requests need."""
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -11,12 +12,11 @@
 from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
 from dotterelhatch.core.routes import EngineSpec
 from dotterelhatch.ids import RouterId, TargetId
-from tests.test_balancer import (
-    ENGINE,
-    MODEL,
-    Fixture,
-    make_request,
-)
+from dotterelhatch.gateway.relay import _count_ends
+from emulator.__main__ import summarise
+from emulator.patterns import PATTERNS, Pattern
+from emulator.simulation import Outcome, Simulation
+from tests.test_balancer import ENGINE, MODEL, Fixture, make_request
 
 SCARCE = EngineSpec(slots_count=64, memory_tokens=100_000)
 TARGET = TargetId('m0')
@@ -265,3 +265,125 @@
     while isinstance(_place(fixture, number), Placement):
         number += 1
     assert isinstance(_place(fixture, number, is_continued=True), Placement)
+
+
+def test_events_that_are_split_count_once() -> None:
+    """Guards against answers that seem shorter or longer than they are."""
+    chunks = [b'data: 1\n', b'\ndata: 2\n\ndata', b': 3\n\n', b': ping\n\n']
+    tail = b''
+    count = 0
+    for chunk in chunks:
+        count += _count_ends(tail, chunk)
+        tail = (tail + chunk)[-4:]
+    assert count == 4
+    assert _count_ends(b'a\r\n', b'\r\nb\r\n\r\n') == 2
+
+
+HOT = PATTERNS['hot-organisations']
+RUN_SECONDS = 22
+PRESENT_PATTERNS = sorted(
+    name for name, pattern in PATTERNS.items() if not pattern.memory_tokens
+)
+
+
+def _run(
+    pattern: Pattern, seed: int, seconds: float = RUN_SECONDS
+) -> Simulation:
+    simulation = Simulation(pattern, 'gateway', seed)
+    simulation.run(seconds)
+    return simulation
+
+
+def _measured(seeds: Iterable[int]) -> list[Outcome]:
+    """Return the requests of the burst that had time to return."""
+    return [
+        outcome
+        for seed in seeds
+        for outcome in _run(HOT, seed).outcomes
+        if 10 < outcome.sent_seconds < RUN_SECONDS - 3
+    ]
+
+
+def _served_share(outcomes: list[Outcome]) -> float:
+    served = [one for one in outcomes if one.first_event_seconds is not None]
+    return len(served) / len(outcomes)
+
+
+def _worth(outcomes: list[Outcome], late_worth_ratio: float) -> float:
+    return summarise(
+        [
+            replace(outcome, late_worth_ratio=late_worth_ratio)
+            for outcome in outcomes
+        ]
+    )['worth']
+
+
+@pytest.mark.parametrize('name', PRESENT_PATTERNS)
+def test_memory_limits_no_present_pattern(name: str) -> None:
+    """Guards against changed decisions where slots limit the engines.
+
+    Where memory does not limit a service, the balancer takes no other path.
+    """
+    simulation = Simulation(PATTERNS[name], 'gateway', 1)
+    counts: list[int] = []
+    simulation.run(
+        12,
+        lambda _: counts.extend(
+            router._balancer.memory.limiting_count  # type: ignore[attr-defined]
+            for router in simulation._routers
+        ),
+    )
+    assert not any(counts)
+
+
+def test_decisions_are_the_same_where_slots_bind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against effects of what is learned where slots bind."""
+    runs = [_run(PATTERNS['burst'], 1, 13)]
+    monkeypatch.setattr(EngineMemory, 'is_limiting', lambda *_: False)
+    runs.append(_run(PATTERNS['burst'], 1, 13))
+    assert runs[0].sends == runs[1].sends
+    assert runs[0].outcomes == runs[1].outcomes
+
+
+def test_twelve_organisations_at_ten_times_their_usual(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a burst in which someone starves or less is served.
+
+    Twelve of 30 organisations ask ten times their usual, so that memory limits
+    the engines. Callers know what a late response is worth, routers don't: the
+    two replays, with a tenth and a third, differ in the worth only.
+    """
+    outcomes = _measured((1, 2, 3))
+    overall = _served_share(outcomes)
+    for organisation in {one.organisation for one in outcomes}:
+        theirs = [one for one in outcomes if one.organisation == organisation]
+        assert _served_share(theirs) >= overall / 4, organisation
+    for kind in HOT.kinds:
+        of_kind = sorted(
+            (one for one in outcomes if one.kind is kind),
+            key=lambda one: one.own_tokens,
+        )
+        share = _served_share(of_kind)
+        assert share >= overall / 4
+        tenth = len(of_kind) // 10
+        assert _served_share(of_kind[-tenth:]) >= share / 2, kind.name
+        assert _served_share(of_kind[-3 * tenth : -tenth]) >= share / 2
+
+    monkeypatch.setattr(EngineMemory, 'is_limiting', lambda *_: False)
+    before = _measured((1, 2, 3))
+    hot = {f'org-{number}' for number in range(HOT.hot_count)}
+    for late_worth_ratio in (1 / 10, 1 / 3):
+        assert _worth(outcomes, late_worth_ratio) > _worth(
+            before, late_worth_ratio
+        )
+        # Max-min: organisations that ask little lose less than others.
+        assert _worth(
+            [one for one in outcomes if one.organisation not in hot],
+            late_worth_ratio,
+        ) > _worth(
+            [one for one in before if one.organisation not in hot],
+            late_worth_ratio,
+        )
