--- a/src/dotterelhatch/core/enginememory.py
+++ b/src/dotterelhatch/core/enginememory.py
@@ -134,38 +134,46 @@
         self.seconds = _Mean()
         self.is_limiting = False
         self.decided_seconds = -_DECISION_LIFETIME_SECONDS
-        self._declared = _Mean()
-        self._needed = _Mean()
-        self._declared_squares = _Mean()
-        self._products = _Mean()
-        self._line = (0.0, 0.0)
+        # Means over the streams of time, and of its products with what was
+        # declared, what was needed, the square of the former and the product
+        # of both.
+        self._moments = (0.0, 0.0, 0.0, 0.0, 0.0)
+        self._line: tuple[float, float] | None = None
 
     def add(self, declared: int, needed: int, seconds: float) -> None:
         """Add a stream with the tokens that it declared and needed."""
         self.own_tokens.add(needed)
         self.seconds.add(seconds)
-        self._declared.add(seconds * declared)
-        self._needed.add(seconds * needed)
-        self._declared_squares.add(seconds * declared * declared)
-        self._products.add(seconds * declared * needed)
-        self._line = self._fit()
+        new = max(1 / self.seconds.count, _NEWEST_WEIGHT)
+        old = 1 - new
+        weight = new * max(seconds, _MIN_SECONDS)
+        time, declareds, neededs, squares, products = self._moments
+        self._moments = (
+            old * time + weight,
+            old * declareds + weight * declared,
+            old * neededs + weight * needed,
+            old * squares + weight * declared * declared,
+            old * products + weight * declared * needed,
+        )
+        self._line = None
 
     def running_tokens(self) -> float:
         """Return the mean need of a running request without shared parts."""
-        return self._needed.mean / max(self.seconds.mean, _MIN_SECONDS)
+        return self._moments[2] / max(self._moments[0], _MIN_SECONDS)
 
     def sum_tokens(self, load: TargetLoad) -> int:
         """Return the need of all requests of a load without shared parts."""
+        if self._line is None:
+            self._line = self._fit()
         offset, slope = self._line
         return round(offset * load.requests_count + slope * load.memory_tokens)
 
     def _fit(self) -> tuple[float, float]:
         """Return offset and slope of the need over the declared need."""
-        seconds = max(self.seconds.mean, _MIN_SECONDS)
-        declared = self._declared.mean / seconds
-        needed = self._needed.mean / seconds
-        variance = self._declared_squares.mean / seconds - declared * declared
-        covariance = self._products.mean / seconds - declared * needed
+        time, *sums = self._moments
+        declared, needed, squares, products = (one / time for one in sums)
+        variance = squares - declared * declared
+        covariance = products - declared * needed
         proportional = needed / max(declared, 1)
         if variance <= declared * declared * _MIN_SQUARED_VARIATION:
             return 0.0, proportional
--- a/tests/test_enginememory.py
+++ b/tests/test_enginememory.py
@@ -1,7 +1,11 @@
 """Tests of placement by the memory that running requests need."""
 
-from collections.abc import Iterable
+import contextlib
+import logging
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -10,12 +14,15 @@
 from dotterelhatch.core.enginememory import EngineMemory, FinishedStream
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
-from dotterelhatch.core.routes import EngineSpec
-from dotterelhatch.ids import RouterId, TargetId
+from dotterelhatch.core.routes import EngineSpec, ServiceSpec
+from dotterelhatch.gateway.decisions import Decision
 from dotterelhatch.gateway.relay import _count_ends
+from dotterelhatch.ids import RouterId, TargetId
 from emulator.__main__ import summarise
 from emulator.patterns import PATTERNS, Pattern
 from emulator.simulation import Outcome, Simulation
+from standins.server import ServerStandIn
+from tests.gateway_helpers import open_gateway, routing_table, run_async
 from tests.test_balancer import ENGINE, MODEL, Fixture, make_request
 
 SCARCE = EngineSpec(slots_count=64, memory_tokens=100_000)
@@ -279,6 +286,61 @@
     assert _count_ends(b'a\r\n', b'\r\nb\r\n\r\n') == 2
 
 
+@run_async
+async def test_a_gateway_learns_and_rejects_with_the_facts() -> None:
+    """Guards against streams that teach nothing, and lines without a reason.
+
+    The server generates 4 tokens of 80 that are declared. Then a peer reports
+    that the memory of the server is full.
+    """
+    services = {MODEL: ServiceSpec(MODEL, EngineSpec(64, 10_000))}
+    table = routing_table(services=services)
+    server = ServerStandIn('i-1')
+    with capture_decisions() as lines:
+        async with open_gateway((MODEL, server), table=table) as fixture:
+            for number in range(20):
+                await fixture.stream('/draft/1', f'r{number}')
+            state = fixture.gateway.state
+            full = TargetLoad(30, 0, 30 * 980)
+            state.load_tracker.on_report(
+                RouterId('r2'), {TargetId('i-1'): full}, state.clock()
+            )
+            response = await fixture.stream('/draft/1', 'last')
+            limiting_count = state.balancer.memory.limiting_count
+    assert limiting_count == 1
+    assert response.status == 429
+    assert float(response.header('Retry-After') or 0) > 0
+    assert len(server.executed_ids) == 20
+    refused = lines[Decision.REFUSED]
+    assert len(refused) == 1
+    assert refused[0]['detail'].startswith(Rejection.NO_MEMORY)
+    assert refused[0]['memory_capacity'] == 10_000
+    assert refused[0]['memory_used'] > 8000
+    assert 'memory_need' in lines[Decision.PLACED][-1]
+
+
+@contextlib.contextmanager
+def capture_decisions() -> Iterator[dict[Decision, list[dict[str, Any]]]]:
+    """Collect the facts of decision lines."""
+    found: dict[Decision, list[dict[str, Any]]] = defaultdict(list)
+
+    class Collector(logging.Handler):
+        def emit(self, record: logging.LogRecord) -> None:
+            facts = getattr(record, 'facts', {})
+            found[getattr(record, 'decision', Decision.LOAD)].append(facts)
+
+    logger = logging.getLogger('dotterelhatch.decisions')
+    former_level = logger.level
+    collector = Collector()
+    logger.addHandler(collector)
+    logger.setLevel(logging.INFO)
+    try:
+        yield found
+    finally:
+        logger.removeHandler(collector)
+        logger.setLevel(former_level)
+
+
 HOT = PATTERNS['hot-organisations']
 RUN_SECONDS = 22
 PRESENT_PATTERNS = sorted(
