--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -84,6 +84,8 @@
 _PAUSE_JITTER_RATIO: Final = 0.25
 # Targets that crashed start again within seconds.
 _SPARED_RETRY_AFTER_SECONDS: Final = 1.0
+# Of the prefixes that a router keeps, few are in use by running requests.
+_PREFIXES_PER_USED_PART: Final = 4
 # Targets that are searched for memory when none of the selected ones has any,
 # and those with memory that are compared.
 _MAX_SCANNED_COUNT: Final = 64
@@ -225,7 +227,9 @@
         """Create a balancer without measurements."""
         self.cache = PrefixCacheEstimate(settings.max_prefixes_count)
         self.pauses = TargetPauses()
-        self.memory = EngineMemory(settings.max_prefixes_count)
+        self.memory = EngineMemory(
+            settings.max_prefixes_count // _PREFIXES_PER_USED_PART
+        )
         self._settings = settings
         self._registry = registry
         self._loads = loads
--- a/tests/test_enginememory.py
+++ b/tests/test_enginememory.py
@@ -11,7 +11,11 @@
 
 from dotterelhatch.core.admission import AdmissionFactors, memory_limit_share
 from dotterelhatch.core.balancer import Placement, Rejection
-from dotterelhatch.core.enginememory import EngineMemory, FinishedStream
+from dotterelhatch.core.enginememory import (
+    EngineMemory,
+    FinishedStream,
+    MemoryRoom,
+)
 from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
 from dotterelhatch.core.routes import EngineSpec, ServiceSpec
@@ -182,6 +186,20 @@
     assert memory._shared_tokens == {TARGET: 1000}
 
 
+def test_callers_return_when_memory_is_free() -> None:
+    """Guards against a retry time that has nothing to do with the answers.
+
+    Streams take 2 s. A request that lacks a quarter of the used memory returns
+    after a quarter of that.
+    """
+    memory = EngineMemory()
+    _learn(memory)
+    room = MemoryRoom(10_000, 80_000, 20_000, 100_000)
+    assert room.missing_tokens(0.8) == 20_000
+    seconds = memory.seconds_until_free(MODEL, room, 0.8)
+    assert seconds == pytest.approx(0.5, abs=0.01)
+
+
 def test_the_load_of_a_lost_router_expires() -> None:
     """Guards against engines that stay full for a router that was lost.
 
