--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -90,8 +90,8 @@
 # and those with memory that are compared.
 _MAX_SCANNED_COUNT: Final = 64
 _MAX_ROOMY_COUNT: Final = 3
-# How long a search without result is not repeated. Loads of other routers are
-# at least as old.
+# How long a search without result is not repeated, because a flood would make
+# each router search all targets. Loads of other routers are at least as old.
 _FULL_LIFETIME_SECONDS: Final = 0.02
 # Longest queue of a plain target, in multiples of its slots, that still drains
 # within the deadlines of callers.
@@ -478,13 +478,19 @@
         chosen = self._place_prompt(request, needs, entries)
         if isinstance(chosen, Placement) or chosen.room is None:
             return chosen
+        service = request.service.id
+        share = _memory_share(request, is_late=False)
+        if request.isolation_key or self._is_full(service, share, now_seconds):
+            return chosen
         tried = {entry.id for entry in entries}
         others = self._find_roomy(
             request, needs, tried.union(excluded), now_seconds
         )
-        if not others:
-            return chosen
-        return self._place_prompt(request, needs, others)
+        if others:
+            return self._place_prompt(request, needs, others)
+        if not chosen.room.is_unusual:
+            self._full[service] = (share, now_seconds + _FULL_LIFETIME_SECONDS)
+        return chosen
 
     def _place_prompt(
         self,
@@ -543,13 +549,10 @@
         """Return targets with memory for a request that others lack.
 
         Only few targets are compared for a prompt, and these may be full while
-        others are not. When no target has memory, it is not searched again for
-        a short time, because a flood would make each router search all.
+        others are not.
         """
         service = request.service.id
         share = _memory_share(request, is_late=False)
-        if request.isolation_key or self._is_full(service, share, now_seconds):
-            return []
         ready = self._registry.ready(service)
         count = min(len(ready), _MAX_SCANNED_COUNT)
         roomy: list[TargetEntry] = []
@@ -560,8 +563,6 @@
             roomy.extend(self._usable(request, (entry,), excluded, now_seconds))
             if len(roomy) == _MAX_ROOMY_COUNT:
                 break
-        if not roomy:
-            self._full[service] = (share, now_seconds + _FULL_LIFETIME_SECONDS)
         return roomy
 
     def _is_full(
--- a/src/dotterelhatch/core/enginememory.py
+++ b/src/dotterelhatch/core/enginememory.py
@@ -102,6 +102,11 @@
     reserved_tokens: int
     capacity_tokens: int
 
+    @property
+    def is_unusual(self) -> bool:
+        """Return whether the request needs more than what is kept for one."""
+        return self.need_tokens > self.reserved_tokens
+
     def fits(self, share: float) -> bool:
         """Return whether the request may be placed.
 
--- a/tests/test_enginememory.py
+++ b/tests/test_enginememory.py
@@ -241,8 +241,6 @@
 
     In a large fleet few targets are compared for a prompt.
     """
-    memory = EngineMemory()
-    _learn(memory)
     fixture = _learned_fixture()
     entries = [
         replace(fixture.registry.ready(MODEL)[0], id=TargetId(f'm{one}'))
@@ -252,6 +250,11 @@
     full = TargetLoad(32, 0, 32 * 10_000)
     for entry in entries[:-1]:
         fixture.loads.add(entry.id, full)
+    fixture.loads.add(entries[-1].id, TargetLoad(5, 0, 50_000))
+    # One that fits nowhere says nothing about others.
+    huge = make_request(_prompt(own_tokens=99_000))
+    huge = replace(huge, service=replace(huge.service, engine=SCARCE))
+    assert isinstance(fixture.balancer.place(huge, (), 0), Rejection)
     chosen = _place(fixture, 0)
     assert isinstance(chosen, Placement)
     assert chosen.entry.id == entries[-1].id
