Count bytes sent by cause and failure domain; age of peers elsewhere

Cause: bytes between failure domains cost users money, and no metric showed them. A flooded router took peers elsewhere for silent after three of its own intervals, which are shorter than theirs since heartbeats there are fewer.

Change: sent_bytes_total has heartbeats, request bodies to targets and requests passed on by the failure domain of the receiver, read_bytes_total the tables by source. The limit of silence follows the longest interval of a peer. Admission windows and shares of services are no longer created anew for each heartbeat.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -33,6 +33,7 @@
     'evidence_interval_seconds',
     'heartbeat_interval_seconds',
     'heartbeat_plan',
+    'longest_interval_seconds',
     'receive_pause_seconds',
 )
 
@@ -376,6 +377,21 @@
     )
 
 
+def longest_interval_seconds(peers_count: int) -> float:
+    """Return the longest interval between two heartbeats of a peer.
+
+    A peer in another failure domain may send fewer of them than this router.
+    """
+    interval_seconds = heartbeat_interval_seconds(peers_count)
+    if peers_count < _FEW_PEERS_COUNT:
+        return interval_seconds
+    elsewhere_seconds = min(
+        _MAX_ELSEWHERE_INTERVAL_SECONDS,
+        _MAX_ELSEWHERE_PERIOD * interval_seconds,
+    )
+    return max(interval_seconds, elsewhere_seconds)
+
+
 def receive_pause_seconds(peers_count: int) -> float:
     """Return the time between two rounds of reading heartbeats.
 
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -472,6 +472,9 @@
         # may execute the request.
         self._request.history.sends_count += 1
         self._request.history.possible_executions_count += 1
+        self._state.count_sent_bytes(
+            'target_request', entry.failure_domain, len(self._routed.body)
+        )
         response = await self._gateway.targets.open(
             entry.address, head, self._routed.body,
             self._routed.metadata.request_id, _TARGET_LIMITS,
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from typing import Final, Self
@@ -373,9 +373,13 @@
         snapshot = await fetch_snapshot(
             heartbeat.router, heartbeat.control_address, name
         )
-        if snapshot is not None and await self.snapshot_store.put_if_newer(
-            snapshot
-        ):
+        if snapshot is None:
+            return
+        is_near = heartbeat.failure_domain == self.settings.failure_domain
+        self.state.metrics.read_bytes.labels(
+            'peer_own' if is_near else 'peer_other'
+        ).inc(len(snapshot.content))
+        if await self.snapshot_store.put_if_newer(snapshot):
             self._newer_at_peer_since.pop(name, None)
             _LOGGER.info(
                 'took a document from a peer',
@@ -426,16 +430,16 @@
     def _send_heartbeats_to(self, *, is_to_all: bool) -> None:
         now_seconds = self.state.clock()
         recipients = self._rounds.recipients(now_seconds, is_to_all=is_to_all)
-        if recipients.elsewhere:
+        if recipients.elsewhere and self._rounds.is_reduced:
             # They get too few heartbeats to leave the totals out of any.
             self._totals_due_seconds = 0
         near = self._heartbeat(now_seconds)
         elsewhere = self._rounds.on_sent(near, now_seconds, is_to_all=is_to_all)
         datagram = self._encode(near)
-        self._send_to(datagram, recipients.near)
+        self._send_to(recipients.near, datagram, 'own')
         if elsewhere is not near:
             datagram = self._encode(elsewhere)
-        self._send_to(datagram, recipients.elsewhere)
+        self._send_to(recipients.elsewhere, datagram, 'other')
 
     def _encode(self, heartbeat: Heartbeat) -> bytes:
         datagram, is_shortened = encode_fitting_heartbeat(heartbeat)
@@ -443,7 +447,12 @@
             self.state.metrics.shortened_heartbeats.inc()
         return datagram
 
-    def _send_to(self, datagram: bytes, addresses: Iterable[str]) -> None:
+    def _send_to(
+        self, addresses: Collection[str], datagram: bytes, domain: str
+    ) -> None:
+        self.state.metrics.sent_bytes.labels('heartbeat', domain).inc(
+            len(datagram) * len(addresses)
+        )
         for address in addresses:
             self._heartbeats.send(datagram, address)
 
--- a/src/dotterelhatch/gateway/heartbeatrounds.py
+++ b/src/dotterelhatch/gateway/heartbeatrounds.py
@@ -48,6 +48,11 @@
         self._rounds_until_all = 0
         self._news_until_seconds = 0.0
 
+    @property
+    def is_reduced(self) -> bool:
+        """Return whether peers elsewhere get only some of the heartbeats."""
+        return self._plan.elsewhere_period > 1
+
     def on_news(self, now_seconds: float) -> None:
         """Send the heartbeats of the next seconds to all peers."""
         self._news_until_seconds = now_seconds + _NEWS_SECONDS
@@ -76,8 +81,6 @@
     ) -> HeartbeatRecipients:
         """Return the addresses that a heartbeat is sent to now."""
         addresses = self._peers.addresses(now_seconds)
-        if self._plan.elsewhere_period == 1 and self._deferred.is_empty:
-            return HeartbeatRecipients(tuple(addresses), ())
         domains = self._peers.failure_domains()
         own_domain = self.settings.failure_domain
         near = tuple(
--- a/src/dotterelhatch/gateway/intake.py
+++ b/src/dotterelhatch/gateway/intake.py
@@ -7,7 +7,7 @@
 
 from dotterelhatch.core.arrivals import flooded_routers, routers_with_room
 from dotterelhatch.core.intake import Flow
-from dotterelhatch.core.peers import Heartbeat, heartbeat_interval_seconds
+from dotterelhatch.core.peers import Heartbeat, longest_interval_seconds
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import WireFormat
 from dotterelhatch.ids import OrganisationId, RouterId
@@ -110,6 +110,19 @@
         self._state.arrivals.record(now_seconds)
         return self._state.rng.choice(choice.addresses)
 
+    def on_passed(self, address: str, sent_bytes: int) -> None:
+        """Count what was sent to a peer with a request that was passed on."""
+        peers = self._state.peers.live(self._state.clock())
+        domain = next(
+            (
+                peer.failure_domain
+                for peer in peers
+                if peer.caller_address == address
+            ),
+            None,
+        )
+        self._state.count_sent_bytes('passed_request', domain, sent_bytes)
+
     def _exceeds_share(
         self, organisation: OrganisationId, now_seconds: float
     ) -> bool:
@@ -142,7 +155,7 @@
     ) -> list[Heartbeat]:
         """Return the peers with room that know what this router knows."""
         peers = self._state.peers
-        interval_seconds = heartbeat_interval_seconds(
+        interval_seconds = longest_interval_seconds(
             len(peers.live(now_seconds))
         )
         oldest_seconds = now_seconds - _MAX_SILENT_INTERVALS * interval_seconds
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -81,6 +81,20 @@
             registry=registry,
             buckets=_BUCKETS,
         )
+        self.sent_bytes = Counter(
+            'sent_bytes',
+            'Bytes sent by cause and by failure domain of the receiver.',
+            ('cause', 'domain'),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
+        self.read_bytes = Counter(
+            'read_bytes',
+            'Bytes of tables read, by where they came from.',
+            ('source',),
+            namespace=_NAMESPACE,
+            registry=registry,
+        )
         self.snapshot_version = Gauge(
             'snapshot_version',
             'Version of each document in force.',
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -46,7 +46,13 @@
 from dotterelhatch.gateway.loadreport import LoadReport
 from dotterelhatch.gateway.metrics import GatewayMetrics
 from dotterelhatch.gateway.settings import GatewaySettings
-from dotterelhatch.ids import OrganisationId, RouterId, ServiceId, TargetId
+from dotterelhatch.ids import (
+    FailureDomain,
+    OrganisationId,
+    RouterId,
+    ServiceId,
+    TargetId,
+)
 from dotterelhatch.net.bodies import request_bodies
 
 __all__ = ('GatewayState', 'boottime_seconds')
@@ -223,9 +229,26 @@
         self._closed_seconds = now_seconds
         return True
 
+    def count_sent_bytes(
+        self, cause: str, domain: FailureDomain | None, sent_bytes: int
+    ) -> None:
+        """Count bytes that were sent.
+
+        :param domain: failure domain of the receiver, None if it is unknown.
+        """
+        place = 'unknown'
+        if domain is not None:
+            is_own = domain == self.settings.failure_domain
+            place = 'own' if is_own else 'other'
+        self.metrics.sent_bytes.labels(cause, place).inc(sent_bytes)
+
     def admission_window(self, service: ServiceId) -> AdmissionWindow:
         """Return the admission window of a service."""
-        return self.admission_windows.setdefault(service, AdmissionWindow())
+        window = self.admission_windows.get(service)
+        if window is None:
+            window = AdmissionWindow()
+            self.admission_windows[service] = window
+        return window
 
     def fair_share_tracker(self, service: ServiceSpec) -> FairShareTracker:
         """Return the usage of a service; all engines share one tracker."""
@@ -434,9 +457,11 @@
         }
 
     def _plain_share_tracker(self, service: ServiceId) -> FairShareTracker:
-        return self.plain_shares.setdefault(
-            service, FairShareTracker(self.settings.share_window_seconds)
-        )
+        tracker = self.plain_shares.get(service)
+        if tracker is None:
+            tracker = FairShareTracker(self.settings.share_window_seconds)
+            self.plain_shares[service] = tracker
+        return tracker
 
     def routers_count(self) -> int:
         """Return the number of routers that share the limits of the fleet."""
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -777,6 +777,7 @@
             _LOGGER.debug('a request was not passed on: %s', error)
             return False
         self.counts.passed_on_count += 1
+        self._intake.on_passed(address, passed.sent_bytes)
         connection.must_close = True
         if not is_complete:
             # A regular end could be taken for the end of the response.
--- a/src/dotterelhatch/net/intake.py
+++ b/src/dotterelhatch/net/intake.py
@@ -34,6 +34,9 @@
     def on_rejected(self, flow: Flow) -> None:
         """Count a request that is rejected unread."""
 
+    def on_passed(self, address: str, sent_bytes: int) -> None:
+        """Count what was sent with a request that was passed on."""
+
     def choose_peer(self, flow: Flow, source: str) -> str | None:
         """Return the address of a server that has room for a request.
 
--- a/src/dotterelhatch/net/passing.py
+++ b/src/dotterelhatch/net/passing.py
@@ -52,6 +52,7 @@
         self._caller = caller
         self._address = address
         self._timeout_seconds = timeout_seconds
+        self.sent_bytes = 0
 
     async def run(self, received: bytes) -> bool:
         """Relay the request and its response.
@@ -90,6 +91,7 @@
         with contextlib.suppress(OSError, WaitTimeoutError):
             while content:
                 await server.write(content, self._timeout_seconds)
+                self.sent_bytes += len(content)
                 content = await self._caller.read()
         server.shutdown()
 
--- a/src/dotterelhatch/platform/process.py
+++ b/src/dotterelhatch/platform/process.py
@@ -45,7 +45,8 @@
 ) -> int:
     settings = process.gateway
     gateway = Gateway(settings, PlatformWireFormat(), handler, selector)
-    store = Store(process.store_address)
+    metrics = gateway.state.metrics
+    store = Store(process.store_address, metrics.read_bytes.labels('store').inc)
     watcher = StoreWatcher(store, gateway, process.renewal_seconds)
     discovery = RouterDiscovery(store, gateway)
     readiness = HttpServer(process.ready_address, ReadinessHandler(gateway))
--- a/src/dotterelhatch/platform/store.py
+++ b/src/dotterelhatch/platform/store.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -89,11 +89,15 @@
     persistent connection can stall.
 
     :param address: ``ip:port``.
+    :param on_read: is called with the length of each response.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, on_read: Callable[[int], None] | None = None
+    ) -> None:
         """Store the address."""
         self._address = address
+        self._on_read = on_read
 
     async def read_table(self, table: str) -> RowsPage:
         """Return all rows of a table.
@@ -211,7 +215,7 @@
         target = f'{path}?{urlencode(query)}' if query else path
         headers = (('Content-Type', 'application/json'),) if body else ()
         try:
-            return await fetch(
+            response = await fetch(
                 self._address,
                 method,
                 target,
@@ -223,6 +227,9 @@
         except HttpError as error:
             kind = StoreTimeoutError if error.is_timeout else StoreError
             raise kind(str(error)) from error
+        if self._on_read is not None:
+            self._on_read(len(response.body))
+        return response
 
 
 def _row(table: str, key: str, fields: dict[str, Any]) -> dict[str, Any]:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -740,6 +740,10 @@
     def choose_peer(self, flow: OrganisationId | None, source: str) -> None:
         """Pass nothing on."""
 
+    def on_passed(self, address: str, sent_bytes: int) -> None:
+        """Nothing is passed on."""
+        raise AssertionError(address)
+
     def on_rejected(self, flow: OrganisationId | None) -> None:
         """Count a request that is rejected unread."""
         if flow is not None:
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -47,6 +47,7 @@
 
     address: str
     rejected_count: int = 0
+    passed_bytes: int = 0
 
     def identify(self, received: bytes) -> OrganisationId | None:
         """Know one organisation."""
@@ -56,6 +57,11 @@
         """Count the request."""
         self.rejected_count += 1
 
+    def on_passed(self, address: str, sent_bytes: int) -> None:
+        """Count the bytes."""
+        assert address == self.address
+        self.passed_bytes += sent_bytes
+
     def choose_peer(
         self, flow: OrganisationId | None, source: str
     ) -> str | None:
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -1,7 +1,9 @@
 """Tests of heartbeats, the directory of peers and reported rejections."""
 
 import zlib
+from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -24,7 +26,12 @@
 from dotterelhatch.core.prompts import PromptPart, SentPrompt
 from dotterelhatch.core.rejections import RejectedRequests
 from dotterelhatch.core.targetlimits import LimitReport
-from dotterelhatch.gateway.heartbeats import decode_heartbeat, encode_heartbeat
+from dotterelhatch.gateway.heartbeats import (
+    _COMPRESSION_DICTIONARY,
+    check_heartbeat,
+    decode_heartbeat,
+    encode_heartbeat,
+)
 from dotterelhatch.ids import (
     CauseId,
     FailureDomain,
@@ -176,6 +183,57 @@
     assert totals == WindowTotals(usages=usages)
 
 
+# Sent by build d916d1d, before the decoder checked ranges.
+_FORMER_DATAGRAM = bytes.fromhex(
+    '783f7a11a27165944f4ac34018c5a75a154411bd821b372999264da21b71'
+    '212e74e309cae82425506d4944c485b6a9b8148b5b51504c6b4dd2160fa0'
+    'e85213c10388b8e9c64338f9d33613b34a78df4786f77b6fbec0ac199adc'
+    '917141660ae85045bb7b7299810f31d73f00485dcf1f2d1c37fbf6bbe94f'
+    '8726703fd87568160e643330c366386e491225ae9d4043cbb9ee3f52b101'
+    '9167d9661fdcab1527f7dafd87ceb82995c9391bbaacf934ddf4cf5d00d3'
+    'b054661166b3426e0b2ab99a435b3d62535ebb2b1b3665b77bf044f6b731'
+    '96142820ac24f76712fb2f1ebdef81d4fb9a19e6e9d40c09198d925660c9'
+    '635871981e9838dbb4e2443d3059fc8d866172787cae97189ebaba6c0de1'
+    '57da09fa753b4203977c67ad729134291f1ea9e20441cecbfb2af6fbf66c'
+    '8759cd1755d25fbd7e6286dfb72a035b3a79f72bbda38f75023d5688e707'
+    '92c1a81cfadbf237081e876ed2cbe300c2b04ac08a77a85e8bfe48d1bb0b'
+    'aa7361dca8b8252124f0121231b6c2fc87dd590f44192aacb00d791e51a2'
+    '3b950d644e44ca161644659196a7ab56bc961e18e9ad36a2369fb707912b'
+    '97c8fda55749e06a4d8d58e6976df456d650aa115d2424887f50e368f5'
+)
+
+
+def _unpack(datagram: bytes) -> Any:
+    decompressor = zlib.decompressobj(zdict=_COMPRESSION_DICTIONARY)
+    return msgspec.msgpack.decode(decompressor.decompress(datagram))
+
+
+def _includes(sent: Any, former: Any) -> bool:
+    if isinstance(former, dict):
+        return isinstance(sent, dict) and all(
+            key in sent and _includes(sent[key], part)
+            for key, part in former.items()
+        )
+    if isinstance(former, list):
+        return len(sent) == len(former) and all(map(_includes, sent, former))
+    return bool(sent == former)
+
+
+def test_former_builds_understand_the_datagrams() -> None:
+    """Guards against routers that are silent to each other in an upgrade.
+
+    The decoded heartbeat of a former build is sent again with all that it had,
+    so that a former build understands what this one sends. Fields may be added,
+    which it ignores.
+    """
+    heartbeat = decode_heartbeat(_FORMER_DATAGRAM)
+    check_heartbeat(heartbeat)
+    assert len(heartbeat.loads) == 2 and heartbeat.sent_prompts
+    assert heartbeat.totals is not None and heartbeat.totals.target_limits
+    sent = _unpack(encode_heartbeat(heartbeat))
+    assert _includes(sent, _unpack(_FORMER_DATAGRAM))
+
+
 @given(st.binary(max_size=40) | st.just(b'[]') | st.just(b'{"a":1}'))
 def test_invalid_datagrams_are_rejected(datagram: bytes) -> None:
     """Guards against an invalid datagram that ends the receiving task.
