--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -130,7 +130,10 @@
             parts = response.partition(b'\r\n\r\n')[2].split(b'\r\n')
             assert parts[1::2] == [b'/%d' % number, b' 300000', b'']
         await server.drain()
-        assert 0 < server.counts.passed_on_count < FLOOD_COUNT
+        passed_count = server.counts.passed_on_count
+        assert 0 < passed_count < FLOOD_COUNT
+        assert isinstance(server._intake, Policy)
+        assert server._intake.passed_bytes > passed_count * len(BODY)
 
 
 @run_async
