--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -47,6 +47,7 @@
 
     address: str
     rejected_count: int = 0
+    passed_bytes: int = 0
 
     def identify(self, received: bytes) -> OrganisationId | None:
         """Know one organisation."""
@@ -56,6 +57,11 @@
         """Count the request."""
         self.rejected_count += 1
 
+    def on_passed(self, address: str, sent_bytes: int) -> None:
+        """Count the bytes."""
+        assert address == self.address
+        self.passed_bytes += sent_bytes
+
     def choose_peer(
         self, flow: OrganisationId | None, source: str
     ) -> str | None:
@@ -124,7 +130,10 @@
             parts = response.partition(b'\r\n\r\n')[2].split(b'\r\n')
             assert parts[1::2] == [b'/%d' % number, b' 300000', b'']
         await server.drain()
-        assert 0 < server.counts.passed_on_count < FLOOD_COUNT
+        passed_count = server.counts.passed_on_count
+        assert 0 < passed_count < FLOOD_COUNT
+        assert isinstance(server._intake, Policy)
+        assert server._intake.passed_bytes > passed_count * len(BODY)
 
 
 @run_async
