Do not complete a body whose connection broke during the upload

A target may answer a long upload at once, without a length, send a part of the body and reset the connection. If the upload was being written, its write got the error of the reset, and the reader of the response saw a regular end: callers got the part as a complete response with status 200. Such an end now counts as a reset when a write of the request has failed.

--- a/src/dotterelhatch/net/targets.py
+++ b/src/dotterelhatch/net/targets.py
@@ -163,6 +163,7 @@
         self.idle_limit_seconds: float | None = None
         self.eof_received = False
         self.is_sending = False
+        self.has_write_failed = False
         self.was_reused = False
         self.may_be_reused = True
         self._sent_ids: set[int] = set()
@@ -432,6 +433,9 @@
             self._fail(_protocol_reason(self._connection), str(error))
             return None
         if isinstance(event, h11.EndOfMessage):
+            if self._connection.has_write_failed and not self.is_delimited:
+                self._fail(FailureReason.RESET, 'the connection broke')
+                return None
             self._complete = True
         return event
 
@@ -832,7 +836,9 @@
     try:
         await connection.stream.write(content, write_timeout_seconds)
     except (OSError, WaitTimeoutError) as error:
-        # The reader of the response sees the broken connection and reports it.
+        # The error is reported once: the reader of the response sees only the
+        # end of the connection, which may look like that of the body.
+        connection.has_write_failed = True
         _LOGGER.debug(
             'sending a request to %s failed: %s', connection.address, error
         )
