Drop the response that its caller leaves unread

When the responses of a target held too many bytes, the longest was dropped, also if its caller was reading it and the others were still being collected. Now a response counts as left unread when its caller has taken nothing for 0.1 s, by what has reached the host of the caller; of these the one with the most left is dropped first. A response that is being collected waits up to about 1 s while that is about to show, and long bodies of one target whose lengths do not fit together are collected in turn: while all are collected, nothing shows who reads.

--- a/src/dotterelhatch/gateway/relay.py
+++ b/src/dotterelhatch/gateway/relay.py
@@ -89,8 +89,9 @@
                 Executed.UNKNOWN,
             )
         headers = self._wire.end_to_end_headers(response.headers)
-        response.hold(len(body), self._exchange.abort)
-        await self._exchange.send(Response(response.status, headers, body))
+        exchange = self._exchange
+        response.hold(len(body), exchange.abort, exchange.taken_bytes)
+        await exchange.send(Response(response.status, headers, body))
 
     async def relay_stream(
         self, response: TargetResponse, on_chunk: Callable[[], None]
@@ -145,7 +146,11 @@
         """Send events, and count what is kept meanwhile."""
         pending_bytes = self._splitter.pending_bytes
         if content:
-            response.hold(len(content) + pending_bytes, self._exchange.abort)
+            response.hold(
+                len(content) + pending_bytes,
+                self._exchange.abort,
+                self._exchange.taken_bytes,
+            )
             await self._send(response, content)
         response.hold(pending_bytes)
 
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -176,6 +176,10 @@
         self._connection = connection
         self._ended = False
 
+    def taken_bytes(self) -> int:
+        """Return the bytes that the caller has taken on this connection."""
+        return self._connection.stream.acknowledged_bytes
+
     @property
     def ended(self) -> bool:
         """Return whether the response was sent to its end or aborted."""
--- a/src/dotterelhatch/net/stream.py
+++ b/src/dotterelhatch/net/stream.py
@@ -2,11 +2,14 @@
 
 import contextlib
 import errno
+import fcntl
 import functools
 import ipaddress
 import re
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, Self
 
@@ -118,6 +121,19 @@
             return ''
         return f'{host}:{port}'
 
+    @property
+    def acknowledged_bytes(self) -> int:
+        """Return the bytes that have reached the host of the peer.
+
+        The socket accepts bytes in large steps, after which a peer that reads
+        slowly would look like one that does not read.
+        """
+        try:
+            queued = fcntl.ioctl(self._socket, termios.TIOCOUTQ, bytes(4))
+        except (OSError, ValueError):
+            return self.sent_bytes
+        return self.sent_bytes - int.from_bytes(queued, sys.byteorder)
+
     async def read(self, timeout_seconds: float | None = None) -> bytes:
         """Return the next bytes, empty at the end of the stream.
 
--- a/src/dotterelhatch/net/targets.py
+++ b/src/dotterelhatch/net/targets.py
@@ -59,6 +59,12 @@
 _MAX_KEEP_ALIVE_DIGITS_COUNT: Final = 9
 _MAX_HEAD_BYTES: Final = 65_536
 _HEAD_METHOD: Final = 'HEAD'
+# Shorter bodies are not counted as held.
+_MIN_RESERVED_BYTES: Final = 65_536
+_ROOM_CHECK_SECONDS: Final = 0.01
+# About 1 s in all: targets cut off responses that are not read for some
+# seconds.
+_MAX_ROOM_CHECKS_COUNT: Final = 100
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _SERVER_ERROR_STATUS: Final = 500
 
@@ -274,6 +280,7 @@
         self._progress_timeout_seconds = progress_timeout_seconds
         self._parts: list[bytes] = []
         self._body_bytes = 0
+        self._room_checks_count = 0
         self._on_drop: Callable[[], None] | None = None
         self._max_bytes = client.pool_limits.max_stream_bytes
         self._complete = False
@@ -343,9 +350,11 @@
             too long to be collected.
         """
         self._max_bytes = self._client.pool_limits.max_body_bytes
+        await self._wait_for_turn()
         try:
-            async for chunk in self.chunks():
+            while chunk := await self.read_chunk():
                 self._parts.append(chunk)
+                await self._wait_for_room()
                 self.hold(self._body_bytes)
             return b''.join(self._parts)
         finally:
@@ -364,7 +373,10 @@
             content = await self.read_chunk()
 
     def hold(
-        self, count: int, on_drop: Callable[[], None] | None = None
+        self,
+        count: int,
+        on_drop: Callable[[], None] | None = None,
+        sent: Callable[[], int] | None = None,
     ) -> None:
         """Set how many bytes of the body the reader keeps.
 
@@ -372,9 +384,11 @@
 
         :param on_drop: ends what the bytes are kept for. Without it the next
             read fails.
+        :param sent: returns the bytes that the caller has taken so far, None
+            while the body is not sent to its caller.
         """
         self._on_drop = on_drop
-        self._client.held.hold(self, count)
+        self._client.held.hold(self, count, sent)
 
     def drop(self, detail: str) -> None:
         """End the response, for the bytes that all responses hold."""
@@ -401,11 +415,44 @@
             return
         self._closed = True
         self._client.held.release(self)
+        self._client.held.end_reservation(self)
         if self._complete:
             self._client.release(self._connection)
         else:
             self._connection.stream.close()
 
+    async def _wait_for_turn(self) -> None:
+        """Wait a moment if this and other long bodies exceed the memory."""
+        length = find_header(self.headers, 'Content-Length') or ''
+        expected_bytes = int(length) if length.isdecimal() else 0
+        if not _MIN_RESERVED_BYTES <= expected_bytes <= self._max_bytes:
+            return
+        held = self._client.held
+        while (
+            self._room_checks_count < _MAX_ROOM_CHECKS_COUNT
+            and not held.try_reserve(self, expected_bytes)
+        ):
+            self._room_checks_count += 1
+            await curio.sleep(_ROOM_CHECK_SECONDS)
+
+    async def _wait_for_room(self) -> None:
+        """Wait a moment if that shows which response is not read.
+
+        Otherwise one that has just been collected would be dropped for those
+        that are still collected, although its caller reads.
+
+        :raises TargetFailure: when this response is dropped meanwhile.
+        """
+        held = self._client.held
+        while (
+            self._room_checks_count < _MAX_ROOM_CHECKS_COUNT
+            and held.is_undecided(self, self._body_bytes)
+        ):
+            self._room_checks_count += 1
+            await curio.sleep(_ROOM_CHECK_SECONDS)
+        if self._failure is not None:
+            raise self._failure
+
     def _take_buffered(self) -> bytes:
         parts: list[bytes] = []
         event = self._parse()
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -266,6 +266,149 @@
             await curio.sleep(0.001)
 
 
+class _Offered(_Held):
+    """A response of which a caller takes some."""
+
+    def __init__(self, owner: str) -> None:
+        super().__init__(owner)
+        self.taken_bytes = 0
+
+    def sent(self) -> int:
+        """Return what the caller has taken."""
+        return self.taken_bytes
+
+
+def _fill(now: list[float]) -> tuple[HeldBytes, _Offered, _Offered, _Held]:
+    """Return responses that are read, left unread, and collected."""
+    held = HeldBytes(1_000_000, clock=lambda: now[0])
+    read, left, collected = _Offered('a'), _Offered('b'), _Held('a')
+    held.hold(read, 500_000, read.sent)
+    held.hold(left, 200_000, left.sent)
+    held.hold(collected, 300_000)
+    return held, read, left, collected
+
+
+def test_a_response_that_its_caller_leaves_unread_is_dropped() -> None:
+    """Guards against the end of a response that its caller is reading.
+
+    It is the longest one, of the target that holds the most.
+    """
+    now = [0.0]
+    held, read, left, collected = _fill(now)
+    while held.is_undecided(collected, 350_000):
+        now[0] += 0.01
+        read.taken_bytes += 1000
+    assert now[0] < 0.2
+    held.hold(collected, 350_000)
+    assert (read.is_dropped, left.is_dropped) == (False, True)
+    assert not collected.is_dropped
+
+
+def test_a_process_that_did_not_run_takes_no_caller_for_stalled() -> None:
+    """Guards against callers that count as stalled after a pause.
+
+    In the pause of the process nobody could take anything.
+    """
+    now = [0.0]
+    held, read, left, collected = _fill(now)
+    assert held.is_undecided(collected, 350_000)
+    now[0] += 5
+    assert held.is_undecided(collected, 350_000)
+    read.taken_bytes += 1000
+    left.taken_bytes += 1000
+    now[0] += 0.01
+    assert held.is_undecided(collected, 350_000)
+
+
+def test_nothing_is_undecided_while_there_is_room_or_nobody_reads() -> None:
+    """Guards against responses that are read late for nothing."""
+    held, read, left, collected = _fill([0.0])
+    assert not held.is_undecided(collected, 300_000)
+    held.release(read)
+    held.release(left)
+    assert not held.is_undecided(collected, 2_000_000)
+
+
+def test_responses_that_do_not_fit_together_are_collected_in_turn() -> None:
+    """Guards against responses of which nothing shows who reads them.
+
+    All are collected at once until one has to be dropped. The first ones are
+    sent to their callers instead, and those that are left unread make room.
+    Responses of another target do not wait for them.
+    """
+    now = [0.0]
+    held = HeldBytes(1_000_000, clock=lambda: now[0])
+    read, left, waiting = _Offered('a'), _Offered('a'), _Held('a')
+    assert held.try_reserve(read, 500_000)
+    assert held.try_reserve(left, 400_000)
+    assert held.try_reserve(_Held('b'), 900_000)
+    assert not held.try_reserve(waiting, 300_000)
+    held.hold(read, 500_000, read.sent)
+    held.hold(left, 400_000, left.sent)
+    while not held.try_reserve(waiting, 300_000):
+        now[0] += 0.01
+        read.taken_bytes += 1000
+        assert now[0] < 0.2
+    assert (read.is_dropped, left.is_dropped) == (False, True)
+    held.end_reservation(read)
+    held.end_reservation(waiting)
+    assert held.try_reserve(_Held('a'), 1_000_000)
+
+
+class GatedServer(ServerStandIn):
+    """Sends the ends of long answers only when a gate opens.
+
+    The answer to the request ``reads`` needs no gate.
+    """
+
+    gate: curio.Event
+
+    async def __call__(self, exchange: ServerExchange) -> None:
+        """Answer one request."""
+        await exchange.read_body(1_000_000)
+        request_id = exchange.head.header('Dotterelhatch-Request-Id') or ''
+        headers = (
+            ('Dotterelhatch-Response-Stamp', 'stamp'),
+            ('Dotterelhatch-Request-Id', request_id),
+        )
+        await exchange.start_stream(200, headers, LONG_ANSWER[:6_000_000])
+        if request_id != 'reads':
+            await self.gate.wait()
+        await exchange.send_chunk(LONG_ANSWER[6_000_000:])
+        await exchange.end_stream()
+
+
+@run_async
+async def test_a_caller_that_reads_keeps_its_response() -> None:
+    """Guards against dropping the longest response while it is being read.
+
+    The responses of callers that do not read are still being collected, and
+    exceed the limit together with it.
+    """
+    server = GatedServer('p-1')
+    server.gate = curio.Event()
+    table = routing_table(
+        routes=(route('/lookup/', RouteKind.IDEMPOTENT, PLAIN),)
+    )
+    async with open_gateway((PLAIN, server), table=table) as fixture:
+        held = fixture.gateway._targets.held
+        held.max_bytes = 20_000_000
+        callers = [await _ask_without_reading(fixture, one) for one in range(2)]
+        while held.total_bytes < 12_000_000:
+            await curio.sleep(0.001)
+        reader = await _ask_without_reading(fixture, 'reads')
+        received_bytes = 0
+        while received_bytes < len(LONG_ANSWER):
+            if received_bytes > 100_000:
+                await server.gate.set()
+            part = await reader.read()
+            assert part, f'cut off after {received_bytes} bytes'
+            received_bytes += len(part)
+            await curio.sleep(0.001)
+        for caller in (*callers, reader):
+            caller.close()
+
+
 LONG_ANSWER = b'z' * 8_000_000
 
 
@@ -284,14 +427,14 @@
 
 
 async def _ask_without_reading(
-    fixture: GatewayFixture, number: int
+    fixture: GatewayFixture, name: object
 ) -> SocketStream:
     stream = await SocketStream.connect(
         fixture.gateway.settings.caller_address, 2.0
     )
     head = (
         f'POST /lookup/1 HTTP/1.1\r\nHost: {HOST}\r\n'
-        f'Dotterelhatch-Request-Id: slow-{number}\r\n'
+        f'Dotterelhatch-Request-Id: {name}\r\n'
         f'Dotterelhatch-Deadline-Ms: 20000\r\n'
         f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
     )
