--- a/src/dotterelhatch/core/speeds.py
+++ b/src/dotterelhatch/core/speeds.py
@@ -36,7 +36,7 @@
 # mean over this time varies little, and follows a change within seconds.
 _DECAY_SECONDS: Final = 4.0
 _REPORT_INTERVAL_SECONDS: Final = 1.0
-# Takes about 25 µs for each target.
+# A refresh takes about 10 µs for each target.
 _REFRESH_INTERVAL_SECONDS: Final = 0.5
 # The time that the requests of a service took, before its figures are used.
 _MIN_SERVICE_SECONDS: Final = 1.0
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -115,6 +115,23 @@
     assert all(outcome.rejections_count for outcome in rejected)
 
 
+def test_learned_speeds_help_a_large_fleet_with_uneven_engines() -> None:
+    """Guards against routers that take all engines for equally fast.
+
+    Each of 40 routers sees too few requests of an engine to learn its speed
+    alone. Measured with seeds 1 and 2: worth 0.48 before and 0.52 with the
+    speeds, and 0.26 and 0.18 of the requests late.
+    """
+    worth = {}
+    for policy in ('gateway', 'gateway-speeds'):
+        simulation = Simulation(
+            PATTERNS['uneven-engines'], policy, 1, FleetSize(40, 15)
+        )
+        simulation.run(14)
+        worth[policy] = summarise(simulation.outcomes)['worth']
+    assert worth['gateway-speeds'] > worth['gateway'] + 0.01
+
+
 def test_the_program_prints_a_table_and_draws_a_plot(tmp_path: Path) -> None:
     """Guards against a command line that is broken or ignores its options."""
     program = typer.Typer()
@@ -125,6 +142,7 @@
     assert ended.exit_code == 0
     assert set(json.loads(ended.stdout)) == {
         'calm gateway',
+        'calm gateway-speeds',
         'calm least-requests',
     }
     assert plot.stat().st_size > 1000
