Explain where a router would send a request

Operators could tell from the logs why a request went where it did, but not where one would go now or why a target gets nothing.

Change: the metrics address of a gateway answers POST /explain with the choice of the balancer and with each target of the service, its load and the reasons against it; `dotterelhatch explain` prints that. The balancer has a preview beside place, which counts nothing.

--- a/src/dotterelhatch/cli/_app.py
+++ b/src/dotterelhatch/cli/_app.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from dotterelhatch.cli import _fleet, _logs, _routers
+from dotterelhatch.cli import _explain, _fleet, _logs, _routers
 from dotterelhatch.cli._common import ErrorReportingGroup
 from dotterelhatch.cli._config import config_app
 from dotterelhatch.version import VERSION
@@ -83,6 +83,13 @@
 app.command('dump', epilog=_format_example('dump 127.0.0.1:20012'))(
     _routers.print_dump
 )
+app.command(
+    'explain',
+    epilog=_format_example(
+        "explain 10.1.0.33:9464 /draft/1 -H 'Host: hatch.example' "
+        '--organisation usta-kazim'
+    ),
+)(_explain.explain_request)
 app.command(
     'trace', epilog=_format_example('trace 9c41d07be2a35f68 router-*.log')
 )(_logs.trace_request)
--- a/src/dotterelhatch/cli/_clients.py
+++ b/src/dotterelhatch/cli/_clients.py
@@ -57,7 +57,9 @@
     return tables
 
 
-async def fetch(address: str, method: str, path: str) -> tuple[int, bytes]:
+async def fetch(
+    address: str, method: str, path: str, body: bytes = b''
+) -> tuple[int, bytes]:
     """Send a request to an operations address; return status and body.
 
     :raises ConnectionError: when there is no complete response.
@@ -65,7 +67,11 @@
     module = importlib.import_module('dotterelhatch.net.http')
     try:
         response = await module.fetch(
-            address, method, path, timeout_seconds=_TIMEOUT_SECONDS
+            address,
+            method,
+            path,
+            body=body,
+            timeout_seconds=_TIMEOUT_SECONDS,
         )
     except module.HttpError as error:
         raise ConnectionError(str(error)) from error
@@ -82,21 +88,23 @@
     return time.time()
 
 
-async def fetch_json(address: str, method: str, path: str) -> dict[str, Any]:
+async def fetch_json(
+    address: str, method: str, path: str, body: bytes = b''
+) -> dict[str, Any]:
     """Return the JSON object in the response of a router.
 
     :raises DotterelhatchError: the error that the router responds with, or
         NOT_READY when there is no usable response.
     """
     try:
-        status, body = await fetch(address, method, path)
+        status, received = await fetch(address, method, path, body)
     except OSError as error:
         raise _no_response_error(address, str(error)) from error
-    content = _decode_object(body)
+    content = _decode_object(received)
     if status < _MIN_ERROR_STATUS and content is not None:
         return content
     raise _decode_problem(address, content or {}) or _no_response_error(
-        address, f'status {status} with {body[:80]!r}'
+        address, f'status {status} with {received[:80]!r}'
     )
 
 
--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -209,10 +209,28 @@
         excluded: Collection[TargetId],
         now_seconds: float,
     ) -> Placement | Rejection:
-        """Select a target for a request.
+        """Select a target for a request and count the request there.
 
         :param excluded: targets that this request was already sent to.
         """
+        chosen = self._choose(request, excluded, now_seconds)
+        if isinstance(chosen, Placement):
+            self._limits.on_placed(chosen.entry, now_seconds)
+            self.pauses.on_placed(chosen.entry, now_seconds)
+        return chosen
+
+    def preview(
+        self, request: PlacementRequest, now_seconds: float
+    ) -> Placement | Rejection:
+        """Return what would become of a request, without counting it."""
+        return self._choose(request, (), now_seconds)
+
+    def _choose(
+        self,
+        request: PlacementRequest,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> Placement | Rejection:
         entries = self._find_candidates(request, excluded, now_seconds)
         if not entries and self._is_spared(request):
             return Rejection(
@@ -225,15 +243,8 @@
             )
         engine = request.service.engine
         if engine is None or request.prompt is None:
-            chosen = self._place_plain(request, entries)
-        else:
-            chosen = self._place_prompt(
-                request, engine, request.prompt, entries
-            )
-        if isinstance(chosen, Placement):
-            self._limits.on_placed(chosen.entry, now_seconds)
-            self.pauses.on_placed(chosen.entry, now_seconds)
-        return chosen
+            return self._place_plain(request, entries)
+        return self._place_prompt(request, engine, request.prompt, entries)
 
     def has_untried_target(
         self,
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -177,6 +177,19 @@
         """
         return self._ready_by_service.get(service, ())
 
+    def listed(self, service: ServiceId) -> tuple[TargetEntry, ...]:
+        """Return all known targets of a service, by id, also unusable ones."""
+        return tuple(
+            sorted(
+                (
+                    entry
+                    for entry in self._entries.values()
+                    if entry.service == service
+                ),
+                key=lambda entry: entry.id,
+            )
+        )
+
     def _is_kept(
         self, entry: TargetEntry, now_seconds: float, window_until: float
     ) -> bool:
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -24,6 +24,7 @@
     log_decision,
 )
 from dotterelhatch.gateway.intake import GatewayIntake
+from dotterelhatch.gateway.explain import EXPLAIN_PATH, ExplainHandler
 from dotterelhatch.gateway.heartbeats import (
     HeartbeatSocket,
     encode_fitting_heartbeat,
@@ -162,7 +163,11 @@
             ),
             HttpServer(
                 settings.metrics_address,
-                MetricsHandler(self.state.metrics, settings.metrics_path),
+                MetricsHandler(
+                    self.state.metrics,
+                    settings.metrics_path,
+                    {EXPLAIN_PATH: ExplainHandler(self.state, wire)},
+                ),
             ),
         )
         if selector is not None and selector.suspensions is not None:
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of a gateway."""
 
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 from prometheus_client import (
@@ -22,6 +23,8 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 
+_Handler = Callable[[ServerExchange], Awaitable[None]]
+
 
 class GatewayMetrics:
     """Counters, gauges and histograms of one gateway process."""
@@ -222,21 +225,32 @@
 
 
 class MetricsHandler:
-    """HTTP handler of the metrics address.
+    """HTTP handler of the metrics address, which operators reach.
 
     :param metrics: to be rendered.
     :param path: at which they are served.
+    :param others: handlers of other paths.
     """
 
-    def __init__(self, metrics: GatewayMetrics, path: str) -> None:
+    def __init__(
+        self,
+        metrics: GatewayMetrics,
+        path: str,
+        others: Mapping[str, _Handler],
+    ) -> None:
         """Store the metrics and their path."""
         self._metrics = metrics
         self._path = path
+        self._others = others
 
     async def __call__(self, exchange: ServerExchange) -> None:
-        """Respond with the metrics, or with 404 to any other path."""
-        if exchange.head.path.partition('?')[0] != self._path:
+        """Respond with the metrics, or with 404 to any unknown path."""
+        path = exchange.head.path.partition('?')[0]
+        other = self._others.get(path)
+        if other is not None:
+            await other(exchange)
+        elif path == self._path:
+            headers = (('Content-Type', CONTENT_TYPE_LATEST),)
+            await exchange.send(Response(_OK, headers, self._metrics.render()))
+        else:
             await exchange.send(Response(_NOT_FOUND, (), b''))
-            return
-        headers = (('Content-Type', CONTENT_TYPE_LATEST),)
-        await exchange.send(Response(_OK, headers, self._metrics.render()))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -38,7 +38,7 @@
         self.now_seconds = 1000.0
 
     async def fetch(
-        self, address: str, method: str, path: str
+        self, address: str, method: str, path: str, body: bytes = b''
     ) -> tuple[int, bytes]:
         """Respond as the router at an address."""
         if self.reported_versions.get(address):
@@ -415,6 +415,7 @@
         'undrain router',
         'keys new',
         'schema',
+        'explain',
     ],
 )
 def test_help_has_an_example(command: str) -> None:
