--- a/src/dotterelhatch/core/balancer.py
+++ b/src/dotterelhatch/core/balancer.py
@@ -277,10 +277,44 @@
         excluded: Collection[TargetId],
         now_seconds: float,
     ) -> Placement | Rejection:
-        """Select a target for a request.
+        """Select a target for a request and count the request there.
 
         :param excluded: targets that this request was already sent to.
         """
+        chosen = self._choose(request, excluded, now_seconds)
+        if isinstance(chosen, Placement):
+            self._limits.on_placed(chosen.entry, now_seconds)
+            self.pauses.on_placed(chosen.entry, now_seconds)
+            self._warmup.on_placed(chosen.entry, now_seconds)
+        return chosen
+
+    def preview(
+        self, request: PlacementRequest, now_seconds: float
+    ) -> Placement | Rejection:
+        """Return what would become of a request, without counting it."""
+        return self._choose(request, (), now_seconds)
+
+    def lacks_memory(
+        self,
+        request: PlacementRequest,
+        entry: TargetEntry,
+        now_seconds: float,
+    ) -> bool:
+        """Return whether a target has too little memory for a request."""
+        engine = request.service.engine
+        if engine is None or request.prompt is None:
+            return False
+        needs = self._needs(request, engine, request.prompt, now_seconds)
+        room = self._room(request.service.id, entry, needs)
+        share = _memory_share(request, is_late=False)
+        return room is not None and not room.fits(share)
+
+    def _choose(
+        self,
+        request: PlacementRequest,
+        excluded: Collection[TargetId],
+        now_seconds: float,
+    ) -> Placement | Rejection:
         entries = self._find_candidates(request, excluded, now_seconds)
         if not entries and self._is_spared(request):
             return Rejection(
@@ -293,20 +327,14 @@
             )
         engine = request.service.engine
         if engine is None or request.prompt is None:
-            chosen = self._place_plain(request, entries)
-        else:
-            chosen = self._reject_early(request, entries) or self._find_place(
-                request,
-                self._needs(request, engine, request.prompt, now_seconds),
-                entries,
-                excluded,
-                now_seconds,
-            )
-        if isinstance(chosen, Placement):
-            self._limits.on_placed(chosen.entry, now_seconds)
-            self.pauses.on_placed(chosen.entry, now_seconds)
-            self._warmup.on_placed(chosen.entry, now_seconds)
-        return chosen
+            return self._place_plain(request, entries)
+        return self._reject_early(request, entries) or self._find_place(
+            request,
+            self._needs(request, engine, request.prompt, now_seconds),
+            entries,
+            excluded,
+            now_seconds,
+        )
 
     def has_untried_target(
         self,
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -178,6 +178,10 @@
             self._evacuated = domains
             self._rebuild_ready()
 
+    def is_domain_in_use(self, domain: FailureDomain) -> bool:
+        """Return whether a failure domain is not evacuated."""
+        return domain not in self._evacuated
+
     def in_domain(self, domain: FailureDomain) -> list[TargetEntry]:
         """Return the known targets of a failure domain."""
         return [
@@ -220,6 +224,19 @@
             and self.is_usable(entry)
         )
 
+    def listed(self, service: ServiceId) -> tuple[TargetEntry, ...]:
+        """Return all known targets of a service, by id, also unusable ones."""
+        return tuple(
+            sorted(
+                (
+                    entry
+                    for entry in self._entries.values()
+                    if entry.service == service
+                ),
+                key=lambda entry: entry.id,
+            )
+        )
+
     def _is_kept(
         self, entry: TargetEntry, now_seconds: float, window_until: float
     ) -> bool:
