--- a/tests/overloaded_fleet.py
+++ b/tests/overloaded_fleet.py
@@ -144,6 +144,10 @@
     async def end_stream(self) -> None:
         """Accept the end of the stream."""
 
+    def taken_bytes(self) -> int:
+        """Return nothing: the model does not count bytes."""
+        return 0
+
     async def wait_disconnect(self) -> None:
         await curio.sleep(60)
 
@@ -177,7 +181,9 @@
     async def read_all(self) -> bytes:
         return b'answer'
 
-    def hold(self, count: int, on_drop: object = None) -> None:
+    def hold(
+        self, count: int, on_drop: object = None, sent: object = None
+    ) -> None:
         """Hold nothing."""
 
 
