--- a/tests/test_report_sizes.py
+++ b/tests/test_report_sizes.py
@@ -145,7 +145,7 @@
     gateway.state.apply_targets([target(MODEL, TARGET, 1), *listed], None)
     _fill(gateway, random.Random(1))
     _crash(gateway, random.Random(1))
-    heartbeat = gateway._heartbeat(gateway.state.clock())
+    heartbeat = gateway._heartbeat(gateway.state.clock(), is_to_all=True)
     assert heartbeat.totals is not None
     evidence = heartbeat.totals.crash_evidence
     assert evidence is not None and evidence.crashes and evidence.rejected
