--- a/src/dotterelhatch/core/warmup.py
+++ b/src/dotterelhatch/core/warmup.py
@@ -38,7 +38,7 @@
 # The rate of a target that is cold for its whole warm-up rises from this part.
 _INITIAL_RATE_RATIO: Final = 0.5
 # Predicted times of a target at the start of its warm-up, relative to those of
-# a warm one. Assumed; the latency ratio of the target corrects it.
+# a warm one. Measured latency of the target corrects the rest.
 _COLD_TIME_RATIO: Final = 2.0
 # A heartbeat or two of a router may be lost without a change of the view.
 _MIN_LIVE_SECONDS: Final = 2.0
