--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,14 +9,17 @@
 from fleet2 import (  # noqa: E402
     BROKEN,
     HELD,
+    HOST,
     PLAIN,
     TROUBLE,
+    Channel,
     CouldNotRun,
     Fleet,
     Server,
     asyncio,
     call,
     desired_state,
+    encode,
     main,
     new_id,
     random,
@@ -32,17 +35,19 @@
 ANSWER_SLACK_SECONDS = 0.5
 MIN_UNANSWERED_COUNT = 8
 # The hot tenant sends ten times its usual.
-USUAL_PER_SECOND = 40
+USUAL_PER_SECOND = 50
 HOT_FACTOR = 10
-USERS_COUNT = 40
+USERS_COUNT = 75
 OTHERS_PER_SECOND = 30
+# As in the site file.
+ZONES = ('gaziantep', 'gaziantep', 'kayseri', 'konya')
 # Longer than stable-window-ms, so that the flooded machine is in touch.
 BEFORE_SECONDS = 5.0
-# One after the other.
-FROZEN_COUNT = 3
+# Of four; the site tolerates two at once.
+FROZEN_COUNT = 2
 FREEZE_SECONDS = 3.5
-# After the start of a burst of requests; a request takes longer.
-BUSY_SECONDS = 0.025
+# A request takes longer.
+BUSY_SECONDS = 0.01
 AFTER_SECONDS = 1.0
 
 TIMES = {'timeout-ms': TIMEOUT_SECONDS * 1000, 'slo-ms': 150}
@@ -62,61 +67,85 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.sent = []
+        self.burst_sent = asyncio.Event()
         self._tasks = []
 
-    def send(self, router, tenant):
-        self._tasks.append(asyncio.create_task(self._send(router, tenant)))
-
     async def finish(self):
         await asyncio.gather(*self._tasks)
 
-    async def _send(self, router, tenant):
-        request_id = new_id()
-        method, path = random.choice(
-            (('POST', '/book/2f'), ('GET', '/look/2f'))
-        )
-        started = time.monotonic()
-        answer = await call(
-            router.front,
-            method,
-            path,
-            [
-                ('Dotterelhatch-Request-Id', request_id),
-                ('Dotterelhatch-Deadline-Ms', int(DEADLINE_SECONDS * 1000)),
-                ('Authorization', f'Bearer key-{tenant}'),
-            ],
-            b'slot' if method == 'POST' else b'',
-            timeout=DEADLINE_SECONDS,
-        )
-        self.sent.append((router, request_id, answer, started))
-        self.fleet.record(
-            f'{router.name} {tenant} {method} {request_id}: {answer}'
-        )
-
     async def run(self, seconds):
         """Send the requests of some seconds."""
         until = time.monotonic() + seconds
         interval = USERS_COUNT / (USUAL_PER_SECOND * HOT_FACTOR)
         flooded = self.fleet.routers[0]
+        others_count = round(OTHERS_PER_SECOND * interval)
         while time.monotonic() < until:
-            for _ in range(USERS_COUNT):
-                self.send(flooded, 'hot0')
-            for _ in range(round(OTHERS_PER_SECOND * interval)):
-                tenant = random.choice(TENANTS[1:])['name']
-                self.send(random.choice(self.fleet.routers), tenant)
+            burst = [(flooded, 'hot0')] * USERS_COUNT + [
+                (
+                    random.choice(self.fleet.routers),
+                    random.choice(TENANTS[1:])['name'],
+                )
+                for _ in range(others_count)
+            ]
+            self._tasks.append(asyncio.create_task(self._send_burst(burst)))
             await asyncio.sleep(interval)
 
-
-async def freeze(fleet, router):
-    """Freeze a machine while it answers requests."""
+    async def _send_burst(self, burst):
+        """Open all channels, and send all requests at the same moment."""
+        channels = await asyncio.gather(
+            *(Channel.open(router.front) for router, _ in burst),
+            return_exceptions=True,
+        )
+        waiting = []
+        for (router, tenant), channel in zip(burst, channels):
+            if isinstance(channel, Channel):
+                request_id, first_line, request = _render(tenant)
+                channel.writer.write(request)
+                waiting.append(
+                    self._receive(
+                        router, f'{tenant} {first_line} {request_id}', channel
+                    )
+                )
+        self.burst_sent.set()
+        await asyncio.gather(*waiting)
+
+    async def _receive(self, router, name, channel):
+        answer = await channel.receive(DEADLINE_SECONDS)
+        channel.close()
+        self.sent.append((router, answer))
+        self.fleet.record(f'{router.name} {name}: {answer}')
+
+
+def _render(tenant):
+    """Return the id, the first line and the bytes of a request."""
+    request_id = new_id()
+    first_line, body = random.choice(
+        (('POST /book/2f HTTP/1.1', b'slot'), ('GET /look/2f HTTP/1.1', b''))
+    )
+    headers = [
+        ('Host', HOST),
+        ('Dotterelhatch-Request-Id', request_id),
+        ('Dotterelhatch-Deadline-Ms', int(DEADLINE_SECONDS * 1000)),
+        ('Authorization', f'Bearer key-{tenant}'),
+    ]
+    if body:
+        headers.append(('Content-Length', len(body)))
+    return request_id, first_line, encode(first_line, headers, body)
+
+
+async def freeze(load, routers):
+    """Freeze machines while requests are sent."""
+    load.burst_sent.clear()
+    await load.burst_sent.wait()
     await asyncio.sleep(BUSY_SECONDS)
     if TROUBLE:
-        fleet.record(f'{router.name} freezes')
-        router.signal(signal.SIGSTOP)
+        for router in routers:
+            load.fleet.record(f'{router.name} freezes')
+            router.signal(signal.SIGSTOP)
 
 
 async def case():
-    fleet = Fleet(FOLDER, routers_count=4)
+    fleet = Fleet(FOLDER, ZONES)
     async with fleet:
         for _ in range(3):
             await fleet.add(Server(fleet.store, 'app', fleet.record))
@@ -129,19 +158,19 @@
         flooded, *peers = fleet.routers
         load = Load(fleet)
         await load.run(BEFORE_SECONDS)
-        for frozen in peers[:FROZEN_COUNT]:
-            freezing = asyncio.create_task(freeze(fleet, frozen))
-            await load.run(FREEZE_SECONDS)
-            await freezing
-            if TROUBLE:
-                fleet.record(f'{frozen.name} wakes')
-                frozen.signal(signal.SIGCONT)
-            await load.run(AFTER_SECONDS)
+        freezing = asyncio.create_task(freeze(load, peers[:FROZEN_COUNT]))
+        await load.run(FREEZE_SECONDS)
+        await freezing
+        if TROUBLE:
+            for router in peers[:FROZEN_COUNT]:
+                fleet.record(f'{router.name} wakes')
+                router.signal(signal.SIGCONT)
+        await load.run(AFTER_SECONDS)
         await load.finish()
-        if not any(answer.status == 200 for _, _, answer, _ in load.sent):
+        if not any(answer.status == 200 for _, answer in load.sent):
             raise CouldNotRun('nothing is served')
         at_flooded = [
-            answer for router, _, answer, _ in load.sent if router is flooded
+            answer for router, answer in load.sent if router is flooded
         ]
         long = [one for one in at_flooded if one.seconds > TIMEOUT_SECONDS]
         unanswered = [
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -316,9 +316,13 @@
         self._beats = asyncio.create_task(self._beat())
 
     async def stop(self, *, reset=True):
+        self.stop_beats()
+        await super().stop(reset=reset)
+
+    def stop_beats(self):
+        """Write no more to the store."""
         if self._beats is not None:
             self._beats.cancel()
-        await super().stop(reset=reset)
 
     def write_row(self):
         self.seq += 1
@@ -407,8 +411,9 @@
 class Router:
     """A router process, as the deploy file starts it."""
 
-    def __init__(self, number, subnet, ports, folder, settings):
-        self.name = f'edge-gaziantep-{number}'
+    def __init__(self, number, zone, subnet, ports, folder, settings):
+        self.name = f'edge-{zone}-{number}'
+        self.zone = zone
         self.ip = f'127.{subnet}.{number}'
         self.ports = ports
         self.front = (self.ip, ports[0])
@@ -436,7 +441,7 @@
 machine-class = "edge"
 serves = ["edge","control_plane","directory"]
 ip = "{ip}"
-zone = "gaziantep"
+zone = "{self.zone}"
 region = "anadolu"
 port-range = [{ports[4]},{ports[4] + 4}]
 seeds = [{listed}]
@@ -448,6 +453,8 @@
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
 [zones]
 gaziantep = "anadolu"
+kayseri = "anadolu"
+konya = "anadolu"
 [listen]
 front = "{ip}:{ports[0]}"
 ready = "{ip}:{ports[1]}"
@@ -715,9 +722,10 @@
     """The store, and the router processes before it.
 
     :param folder: of the case, which gets record.txt.
+    :param zones: of the routers, one for each.
     """
 
-    def __init__(self, folder, routers_count=3, settings=None):
+    def __init__(self, folder, zones=('gaziantep',) * 3, settings=None):
         self.record = Record(folder)
         self.store = Store()
         self.routers = []
@@ -725,13 +733,12 @@
         self._temporary = tempfile.TemporaryDirectory()
         rng = random.SystemRandom()
         subnet = f'{rng.randrange(1, 255)}.{rng.randrange(1, 255)}'
-        hosts = [f'127.{subnet}.{n + 1}' for n in range(routers_count)]
+        hosts = [f'127.{subnet}.{n + 1}' for n in range(len(zones))]
         ports = free_ports(hosts, 5)
-        for number in range(1, routers_count + 1):
+        folder = self._temporary.name
+        for number, zone in enumerate(zones, 1):
             self.routers.append(
-                Router(
-                    number, subnet, ports, self._temporary.name, settings or {}
-                )
+                Router(number, zone, subnet, ports, folder, settings or {})
             )
 
     @property
