--- a/review/8/case.py
+++ b/review/8/case.py
@@ -164,7 +164,7 @@
 
 
 async def case():
-    fleet = Fleet(FOLDER, routers_count=4)
+    fleet = Fleet(FOLDER, ('gaziantep',) * 4)
     async with fleet:
         for _ in range(2):
             await fleet.add(Server(fleet.store, 'app', fleet.record))
