Limit the time of requests that are passed on

Callers of a flooded router got no answer at all when the router that their requests were passed on to froze: neither at the timeout of the route nor before they gave up. For a POST they could not know whether it had run.

Cause: the time limit of a request begins in the handler, which a request that is passed on never reaches. The relay waited for bytes of the peer without a limit. Keep-alive probes find a host without power; the kernel of a frozen process answers them.

The router reads the head before it passes a request on, and the limit of the request bounds the wait. After it the caller gets 504, or a reset if a part of a response was relayed. Nothing is sent a second time. A stream goes on after the limit as long as its events arrive, since the peer ends it by the same limit; the test of it has one of twice the limit. Requests whose route is not known stay here. The new error kind is router_failed, 502.

--- a/src/dotterelhatch/errors.py
+++ b/src/dotterelhatch/errors.py
@@ -46,6 +46,7 @@
     STORE_UNAVAILABLE = 'store_unavailable'
     NOT_READY = 'not_ready'
     ROUTER_OVERLOADED = 'router_overloaded'
+    ROUTER_FAILED = 'router_failed'
     STOPPING = 'stopping'
     CONFIG_INVALID = 'config_invalid'
     CONFIG_CONFLICT = 'config_conflict'
@@ -91,6 +92,7 @@
         ErrorKind.STORE_UNAVAILABLE: ErrorSpec(503, 14, retry_after_seconds=5),
         ErrorKind.NOT_READY: ErrorSpec(503, 15, retry_after_seconds=2),
         ErrorKind.ROUTER_OVERLOADED: ErrorSpec(503, 20, retry_after_seconds=1),
+        ErrorKind.ROUTER_FAILED: ErrorSpec(502, 21),
         ErrorKind.STOPPING: ErrorSpec(503, 16, retry_after_seconds=1),
         ErrorKind.CONFIG_INVALID: ErrorSpec(422, 17),
         ErrorKind.CONFIG_CONFLICT: ErrorSpec(409, 18),
--- a/src/dotterelhatch/gateway/intake.py
+++ b/src/dotterelhatch/gateway/intake.py
@@ -8,9 +8,13 @@
 from dotterelhatch.core.arrivals import flooded_routers, routers_with_room
 from dotterelhatch.core.intake import Flow
 from dotterelhatch.core.peers import Heartbeat, longest_interval_seconds
+from dotterelhatch.errors import DotterelhatchError
+from dotterelhatch.gateway.decisions import Decision, log_decision
+from dotterelhatch.gateway.request_records import time_limit_seconds
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.gateway.wireformat import WireFormat
-from dotterelhatch.ids import OrganisationId, RouterId
+from dotterelhatch.ids import OrganisationId, RequestId, RouterId
+from dotterelhatch.net.httptypes import RequestHead, Response
 
 __all__ = ('GatewayIntake',)
 
@@ -110,6 +114,44 @@
         self._state.arrivals.record(now_seconds)
         return self._state.rng.choice(choice.addresses)
 
+    def time_limit_seconds(self, head: RequestHead) -> float | None:
+        """Return how long a request may take, as if it were served here.
+
+        :returns: None if its route is not known, or its head is malformed.
+        """
+        table = self._state.table
+        if table is None:
+            return None
+        try:
+            metadata = self._wire.decode_request(head)
+        except DotterelhatchError:
+            return None
+        route = table.find_route(metadata.host, metadata.path)
+        return None if route is None else time_limit_seconds(route, metadata)
+
+    def on_pass_failed(
+        self, head: RequestHead, error: DotterelhatchError
+    ) -> Response:
+        """Log and count a request that was passed on in vain.
+
+        :returns: the response for its caller.
+        """
+        request_id = head.header(self._wire.request_id_header)
+        reason = error.kind.value
+        log_decision(
+            Decision.FAILED,
+            request_id=request_id,
+            reason=reason,
+            detail=error.detail,
+            executed=error.executed.value,
+            status=error.spec.status,
+        )
+        metrics = self._state.metrics
+        metrics.requests.labels(Decision.FAILED.value, reason).inc()
+        return self._wire.render_error(
+            error, None if request_id is None else RequestId(request_id)
+        )
+
     def on_passed(self, address: str, sent_bytes: int) -> None:
         """Count what was sent to a peer with a request that was passed on."""
         peers = self._state.peers.live(self._state.clock())
--- a/src/dotterelhatch/gateway/metrics.py
+++ b/src/dotterelhatch/gateway/metrics.py
@@ -265,7 +265,8 @@
             'connections',
             'Connections of callers: accepted, closed_unread and rejected '
             'because of the limit, closed_idle to make room for others, '
-            'rejected_unread for lack of processor time.',
+            'rejected_unread for lack of processor time, passed_on to other '
+            'routers, pass_failed of these without a complete response.',
             ('event',),
             namespace=_NAMESPACE,
             registry=registry,
--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -20,7 +20,7 @@
 from pydantic import Field
 
 from dotterelhatch.core.intake import Flow
-from dotterelhatch.errors import DotterelhatchError, ErrorKind
+from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.fleet import FrozenModel
 from dotterelhatch.net.bodies import BodyBuffer
 from dotterelhatch.net.client import fetch
@@ -42,7 +42,13 @@
 )
 from dotterelhatch.net.idle import IdleConnections
 from dotterelhatch.net.intake import GateEntry, IntakeGate, IntakePolicy
-from dotterelhatch.net.passing import HEAD_END, NotPassedError, PassedRequest
+from dotterelhatch.net.passing import (
+    HEAD_END,
+    NotPassedError,
+    PassedRequest,
+    PassLimits,
+    PassOutcome,
+)
 from dotterelhatch.net.stream import (
     BACKLOG_COUNT,
     SocketStream,
@@ -147,6 +153,7 @@
     :param rejected_unread_count: rejected because a request on them waited for
         too long; it was not read.
     :param passed_on_count: passed on to other servers.
+    :param pass_failed_count: passed on without a complete response.
     """
 
     accepted_count: int = 0
@@ -155,6 +162,7 @@
     closed_idle_count: int = 0
     rejected_unread_count: int = 0
     passed_on_count: int = 0
+    pass_failed_count: int = 0
 
 
 class _IdleClosedError(curio.TaskCancelled):  # type: ignore[misc]
@@ -176,6 +184,11 @@
         self._connection = connection
         self._ended = False
 
+    @property
+    def stream(self) -> SocketStream:
+        """Return the connection, for a response that is relayed as bytes."""
+        return self._connection.stream
+
     def taken_bytes(self) -> int:
         """Return the bytes that the caller has taken on this connection."""
         return self._connection.stream.acknowledged_bytes
@@ -265,6 +278,11 @@
         self._ended = True
         self._connection.abort()
 
+    def reset(self) -> None:
+        """Reset the connection, so that no part of a response looks whole."""
+        self._connection.stream.reset_on_close()
+        self.abort()
+
     async def wait_disconnect(self) -> None:
         """Return when the caller disconnects or shuts down its sending side.
 
@@ -761,34 +779,63 @@
                 self._intake.on_rejected(flow)
         return outcome
 
-    async def _pass_on(self, connection: _Connection) -> bool:
-        """Pass the next request of a connection on to another server.
+    def _choose_peer(self, connection: _Connection) -> str | None:
+        """Return the server that the next request is passed on to.
 
-        :returns: False if it is to be served here.
+        :returns: None if it is to be served here.
         """
         if self._intake is None or not self._is_saturated:
-            return False
-        received = connection.buffer_arrived()
+            return None
+        if HEAD_END not in connection.buffer_arrived():
+            return None
         host = connection.client.partition(':')[0]
-        address = self._intake.choose_peer(connection.flow, host)
-        if address is None or HEAD_END not in received:
+        return self._intake.choose_peer(connection.flow, host)
+
+    async def _pass_on(
+        self, exchange: ServerExchange, address: str, received: bytes
+    ) -> bool:
+        """Pass a request on to another server.
+
+        :param received: the first bytes of the request, with its whole head.
+        :returns: False if it is to be served here.
+        """
+        if self._intake is None:
             return False
-        timeout_seconds = self._limits.write_timeout_seconds
-        passed = PassedRequest(connection.stream, address, timeout_seconds)
+        limit_seconds = self._intake.time_limit_seconds(exchange.head)
+        if limit_seconds is None:
+            return False
+        passed = PassedRequest(
+            exchange.stream,
+            address,
+            PassLimits(limit_seconds, self._limits.write_timeout_seconds),
+        )
         try:
-            is_complete = await passed.run(received)
+            outcome = await passed.run(received)
         except NotPassedError as error:
             _LOGGER.debug('a request was not passed on: %s', error)
             return False
         self.counts.passed_on_count += 1
         self._intake.on_passed(address, passed.sent_bytes)
-        connection.must_close = True
-        if not is_complete:
-            # A regular end could be taken for the end of the response.
-            connection.stream.reset_on_close()
-            connection.abort()
+        exchange.close_after_response()
+        await self._end_passed(exchange, self._intake, outcome)
         return True
 
+    async def _end_passed(
+        self,
+        exchange: ServerExchange,
+        intake: IntakePolicy,
+        outcome: PassOutcome,
+    ) -> None:
+        """Respond to a caller whose response the other server has not sent."""
+        if outcome in {PassOutcome.COMPLETE, PassOutcome.CALLER_LEFT}:
+            return
+        self.counts.pass_failed_count += 1
+        response = intake.on_pass_failed(exchange.head, _pass_error(outcome))
+        if outcome is PassOutcome.TRUNCATED:
+            exchange.reset()
+            return
+        await exchange.send(response)
+
     async def _reject_accepted(
         self, accepted: socket.socket, flow: Flow, received: bytes
     ) -> None:
@@ -963,8 +1010,8 @@
     async def _run_exchange(self, connection: _Connection) -> None:
         if not await self._enter_gate(connection):
             return
-        if await self._pass_on(connection):
-            return
+        address = self._choose_peer(connection)
+        received = connection.buffered
         try:
             head = await connection.read_head()
         except DotterelhatchError as error:
@@ -974,14 +1021,18 @@
         if head is None:
             connection.must_close = True
             return
-        await self._respond(head, connection)
+        exchange = ServerExchange(head, connection)
+        if address is None or not await self._pass_on(
+            exchange, address, received
+        ):
+            await self._respond(exchange, connection)
 
     async def _respond(
-        self, head: RequestHead, connection: _Connection
+        self, exchange: ServerExchange, connection: _Connection
     ) -> None:
-        if self._stopping or self._announces_close or head.method == 'CONNECT':
+        is_closing = self._stopping or self._announces_close
+        if is_closing or exchange.head.method == 'CONNECT':
             connection.must_close = True
-        exchange = ServerExchange(head, connection)
         await self._run_handler(exchange, connection)
         if not exchange.ended:
             exchange.abort()
@@ -1073,6 +1124,22 @@
     )
 
 
+def _pass_error(outcome: PassOutcome) -> DotterelhatchError:
+    if outcome is PassOutcome.TIMED_OUT:
+        return DotterelhatchError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'no response within the deadline from the router that the request '
+            'was passed on to',
+            Executed.UNKNOWN,
+        )
+    return DotterelhatchError(
+        ErrorKind.ROUTER_FAILED,
+        'the router that the request was passed on to closed the connection '
+        'before the end of its response',
+        Executed.UNKNOWN,
+    )
+
+
 def _check_framing(head: RequestHead) -> None:
     """Reject a request whose end two parsers could place differently.
 
--- a/src/dotterelhatch/net/intake.py
+++ b/src/dotterelhatch/net/intake.py
@@ -13,6 +13,8 @@
 import curio
 
 from dotterelhatch.core.intake import Flow, IntakeQueue
+from dotterelhatch.errors import DotterelhatchError
+from dotterelhatch.net.httptypes import RequestHead, Response
 
 __all__ = ('GateEntry', 'IntakeGate', 'IntakePolicy', 'WaitingRequest')
 
@@ -34,9 +36,23 @@
     def on_rejected(self, flow: Flow) -> None:
         """Count a request that is rejected unread."""
 
+    def time_limit_seconds(self, head: RequestHead) -> float | None:
+        """Return how long a request may take.
+
+        :returns: None if no route is known for it.
+        """
+
     def on_passed(self, address: str, sent_bytes: int) -> None:
         """Count what was sent with a request that was passed on."""
 
+    def on_pass_failed(
+        self, head: RequestHead, error: DotterelhatchError
+    ) -> Response:
+        """Count a request that was passed on in vain.
+
+        :returns: the response for its caller.
+        """
+
     def choose_peer(self, flow: Flow, source: str) -> str | None:
         """Return the address of a server that has room for a request.
 
--- a/src/dotterelhatch/net/passing.py
+++ b/src/dotterelhatch/net/passing.py
@@ -5,7 +5,10 @@
 """
 
 import contextlib
+import enum
 import socket
+import time
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -13,7 +16,13 @@
 from dotterelhatch.net.httptypes import CLOSE_HEADER
 from dotterelhatch.net.stream import SocketStream, WaitTimeoutError
 
-__all__ = ('HEAD_END', 'NotPassedError', 'PassedRequest')
+__all__ = (
+    'HEAD_END',
+    'NotPassedError',
+    'PassLimits',
+    'PassOutcome',
+    'PassedRequest',
+)
 
 HEAD_END: Final = b'\r\n\r\n'
 _LINE_END: Final = b'\r\n'
@@ -27,40 +36,82 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
 )
+# The limit of the other server begins when the request arrives there.
+_ARRIVAL_GRACE_SECONDS: Final = 0.1
+# Pause that a response which has begun may have after the time limit. The other
+# server ends it by the same limit, unless it has stopped.
+_LATE_PAUSE_SECONDS: Final = 0.3
 
 
 class NotPassedError(Exception):
     """The other server could not be reached and has seen no byte."""
 
 
+class PassOutcome(enum.Enum):
+    """How a request that was passed on has ended.
+
+    COMPLETE: the other server has responded and closed the connection.
+    TRUNCATED: a part of its response was relayed. UNANSWERED: its connection
+    broke before a response. TIMED_OUT: there was none within the time limit.
+    CALLER_LEFT: the caller disconnected.
+    """
+
+    COMPLETE = 'complete'
+    TRUNCATED = 'truncated'
+    UNANSWERED = 'unanswered'
+    TIMED_OUT = 'timed_out'
+    CALLER_LEFT = 'caller_left'
+
+
+@dataclass(frozen=True, slots=True)
+class PassLimits:
+    """How long the other server and the caller are waited for.
+
+    :param response_seconds: time limit of the request. A response that has
+        begun goes on after it as long as bytes arrive.
+    :param write_seconds: longest time without any byte being accepted by
+        either side.
+    """
+
+    response_seconds: float
+    write_seconds: float
+
+
 class PassedRequest:
     """A request whose response comes from another server, byte by byte.
 
     The connection carries this request only: the other server is asked to
-    close it, so that the next one takes its turn here again.
+    close it, so that the next one takes its turn here again. The request may
+    have run as soon as a byte was sent, so it is never passed on twice.
 
     :param caller: connection of the caller.
     :param address: of the other server.
-    :param timeout_seconds: longest time without any byte being accepted by
-        either side.
+    :param limits: time limits.
     """
 
     def __init__(
-        self, caller: SocketStream, address: str, timeout_seconds: float
+        self, caller: SocketStream, address: str, limits: PassLimits
     ) -> None:
         """Store the parameters."""
         self._caller = caller
         self._address = address
-        self._timeout_seconds = timeout_seconds
+        self._limits = limits
+        self._due_seconds = 0.0
+        self._has_started = False
+        self._has_caller_left = False
         self.sent_bytes = 0
 
-    async def run(self, received: bytes) -> bool:
+    async def run(self, received: bytes) -> PassOutcome:
         """Relay the request and its response.
 
         :param received: the first bytes of the request, with its whole head.
-        :returns: whether the connection of the other server ended regularly.
         :raises NotPassedError: the request can be served here instead.
         """
+        self._due_seconds = (
+            time.monotonic()
+            + self._limits.response_seconds
+            + _ARRIVAL_GRACE_SECONDS
+        )
         try:
             server = await SocketStream.connect(
                 self._address, _CONNECT_TIMEOUT_SECONDS
@@ -72,29 +123,62 @@
         finally:
             server.close()
 
-    async def _relay(self, server: SocketStream, received: bytes) -> bool:
+    async def _relay(
+        self, server: SocketStream, received: bytes
+    ) -> PassOutcome:
         server.set_options(_PROBE_OPTIONS)
         sending = await curio.spawn(
             self._send, server, _with_close(received), daemon=True
         )
         try:
-            while content := await server.read():
-                await self._caller.write(content, self._timeout_seconds)
-        except (OSError, WaitTimeoutError):
-            return False
+            await self._relay_response(server)
+        except WaitTimeoutError:
+            # Bytes that are on their way are not delivered after a reset.
+            server.reset_on_close()
+            return self._failure(PassOutcome.TIMED_OUT)
+        except OSError:
+            return self._failure(PassOutcome.UNANSWERED)
         finally:
             await sending.cancel()
-        return True
+        if self._has_started:
+            return PassOutcome.COMPLETE
+        return self._failure(PassOutcome.UNANSWERED)
+
+    async def _relay_response(self, server: SocketStream) -> None:
+        while content := await server.read(self._remaining_seconds()):
+            self._has_started = True
+            await self._caller.write(content, self._limits.write_seconds)
+
+    def _remaining_seconds(self) -> float:
+        """Return how long the other server may send nothing."""
+        remaining_seconds = self._due_seconds - time.monotonic()
+        shortest_seconds = _LATE_PAUSE_SECONDS if self._has_started else 0
+        return max(remaining_seconds, shortest_seconds)
+
+    def _failure(self, unanswered: PassOutcome) -> PassOutcome:
+        if self._has_started:
+            return PassOutcome.TRUNCATED
+        if self._has_caller_left:
+            return PassOutcome.CALLER_LEFT
+        return unanswered
 
     async def _send(self, server: SocketStream, content: bytes) -> None:
         """Send what the caller sends, until it disconnects."""
         with contextlib.suppress(OSError, WaitTimeoutError):
             while content:
-                await server.write(content, self._timeout_seconds)
+                await server.write(content, self._limits.write_seconds)
                 self.sent_bytes += len(content)
-                content = await self._caller.read()
+                content = await self._read_caller()
         server.shutdown()
 
+    async def _read_caller(self) -> bytes:
+        try:
+            content = await self._caller.read()
+        except OSError:
+            content = b''
+        self._has_caller_left = not content
+        return content
+
 
 def _with_close(received: bytes) -> bytes:
     """Ask for the connection to be closed after the response."""
--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -8,6 +8,7 @@
 
 from dotterelhatch.core.fairshare import Usage
 from dotterelhatch.core.peers import Heartbeat, WindowTotals
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
 from dotterelhatch.gateway.intake import GatewayIntake
 from dotterelhatch.gateway.state import GatewayState
 from dotterelhatch.ids import (
@@ -16,10 +17,12 @@
     OrganisationId,
     RouterId,
 )
+from dotterelhatch.net.httptypes import RequestHead
 from dotterelhatch.platform.wire import PlatformWireFormat
 from standins.server import ServerStandIn
 from tests.gateway_helpers import (
     DOMAIN,
+    HOST,
     KEY,
     MODEL,
     gateway_settings,
@@ -74,6 +77,33 @@
         assert not window.rejection_rate(state.clock())
 
 
+@run_async
+async def test_a_request_that_is_passed_on_has_no_time_limit() -> None:
+    """Guards against a peer that is waited for longer than a target."""
+    async with open_gateway((MODEL, ServerStandIn('m-1'))) as fixture:
+        intake = fixture.gateway._handler.intake
+        head = request_head('/short/1', '4000')
+        assert intake.time_limit_seconds(head) == 0.2
+        assert intake.time_limit_seconds(request_head('/lookup/1')) == 0.1
+        assert intake.time_limit_seconds(request_head('/unknown/')) is None
+        malformed = request_head('/short/1', 'soon')
+        assert intake.time_limit_seconds(malformed) is None
+        error = DotterelhatchError(ErrorKind.DEADLINE_EXCEEDED, 'silent')
+        response = intake.on_pass_failed(head, error)
+        assert response.status == 504
+        assert ('Dotterelhatch-Request-Id', 'r1') in response.headers
+
+
+def request_head(path: str, deadline_ms: str = '100') -> RequestHead:
+    """Return the head of a request."""
+    headers = (
+        ('Host', HOST),
+        ('Dotterelhatch-Request-Id', 'r1'),
+        ('Dotterelhatch-Deadline-Ms', deadline_ms),
+    )
+    return RequestHead('POST', path, headers)
+
+
 CALLER = '10.9.9.9'
 NOW_SECONDS = 100.0
 OUTDATED = RouterId('outdated')
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -3,16 +3,23 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
+from unittest import mock
 
 import curio
 import pytest
 
+from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.ids import OrganisationId
+from dotterelhatch.net import passing
 from dotterelhatch.net.http import HttpServer, Response, ServerExchange
-from dotterelhatch.net.httptypes import DisconnectError
-from dotterelhatch.net.stream import SocketStream, split_address
+from dotterelhatch.net.httptypes import (
+    DisconnectError,
+    RequestHead,
+    render_problem,
+)
+from dotterelhatch.net.stream import SocketStream, bind_listener, split_address
 from standins.server import ServerStandIn
 from tests.gateway_helpers import (
     HOST,
@@ -46,8 +53,10 @@
     """
 
     address: str
+    limit_seconds: float | None = 20.0
     rejected_count: int = 0
     passed_bytes: int = 0
+    errors: list[DotterelhatchError] = field(default_factory=list)
 
     def identify(self, received: bytes) -> OrganisationId | None:
         """Know one organisation."""
@@ -62,6 +71,17 @@
         assert address == self.address
         self.passed_bytes += sent_bytes
 
+    def time_limit_seconds(self, head: RequestHead) -> float | None:
+        """Return the same limit for all requests."""
+        return self.limit_seconds
+
+    def on_pass_failed(
+        self, head: RequestHead, error: DotterelhatchError
+    ) -> Response:
+        """Remember the error."""
+        self.errors.append(error)
+        return render_problem(error)
+
     def choose_peer(
         self, flow: OrganisationId | None, source: str
     ) -> str | None:
@@ -72,7 +92,9 @@
 
 @contextlib.asynccontextmanager
 async def saturated_server(
-    address: str, handler: Callable[[ServerExchange], Coroutine[Any, Any, None]]
+    address: str,
+    handler: Callable[[ServerExchange], Coroutine[Any, Any, None]],
+    limit_seconds: float | None = 20.0,
 ) -> AsyncIterator[HttpServer]:
     """Open a server whose requests wait as if its processor were saturated."""
     server = HttpServer(
@@ -80,12 +102,19 @@
         handler,
         clock=lambda: 100.0,
         is_gated=True,
-        intake=Policy(address),
+        intake=Policy(address, limit_seconds),
     )
     async with server:
         yield server
 
 
+@contextlib.asynccontextmanager
+async def patched_late_pause(seconds: float) -> AsyncIterator[None]:
+    """Allow longer pauses, so that a slow machine ends no stream."""
+    with mock.patch.object(passing, '_LATE_PAUSE_SECONDS', seconds):
+        yield
+
+
 def send_together(server: HttpServer, body: bytes = b'') -> list[SocketStream]:
     """Send a request on each of some connections before any is accepted."""
     requests = [REQUEST % (number, len(body)) for number in range(FLOOD_COUNT)]
@@ -221,6 +250,114 @@
         assert left
 
 
+@run_async
+async def test_a_peer_that_freezes_leaves_callers_without_an_answer() -> None:
+    """Guards against callers that wait for a peer until they give up.
+
+    The kernel of a frozen peer accepts connections that nobody reads.
+    """
+    with bind_listener('127.0.0.1:0') as frozen:
+        address = f'127.0.0.1:{frozen.getsockname()[1]}'
+        async with saturated_server(address, echo, 0.2) as server:
+            for stream in send_together(server):
+                response = await read_response(stream)
+                is_served = response.startswith(b'HTTP/1.1 200')
+                assert is_served or b'"executed": "unknown"' in response
+            counts = server.counts
+            assert counts.passed_on_count == counts.pass_failed_count > 0
+            policy = server._intake
+            assert isinstance(policy, Policy)
+            kinds = [(one.kind, one.executed) for one in policy.errors]
+            unknown = (ErrorKind.DEADLINE_EXCEEDED, Executed.UNKNOWN)
+            assert kinds == [unknown] * counts.passed_on_count
+
+
+@run_async
+async def test_a_peer_that_freezes_halfway_holds_a_caller() -> None:
+    """Guards against the same after a part of the response has arrived.
+
+    A peer that loses its power or is cut off is as silent.
+    """
+
+    async def stall(exchange: ServerExchange) -> None:
+        await exchange.read_body(1_000_000)
+        await exchange.start_stream(200, (), b'the first half')
+        await exchange.wait_disconnect()
+
+    async with (
+        HttpServer('127.0.0.1:0', stall) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', echo, 0.2) as server,
+    ):
+        reset_count = 0
+        for stream in send_together(server):
+            try:
+                response = await read_response(stream)
+            except ConnectionResetError:
+                reset_count += 1
+            else:
+                assert response.endswith(b'0\r\n\r\n')
+        assert reset_count == server.counts.pass_failed_count > 0
+
+
+@run_async
+async def test_the_time_limit_ends_long_streams_of_a_peer() -> None:
+    """Guards against a limit for frozen peers that sound ones run into."""
+
+    async def stream_events(exchange: ServerExchange) -> None:
+        await exchange.read_body(1_000_000)
+        await exchange.start_stream(200, (), b'0')
+        for number in range(1, 20):
+            await curio.sleep(0.1)
+            await exchange.send_chunk(b'%d' % number)
+        await exchange.end_stream()
+
+    async with (
+        patched_late_pause(10),
+        HttpServer('127.0.0.1:0', stream_events) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', echo, 1) as server,
+    ):
+        streams = send_together(server)
+        for response in [await read_response(one) for one in streams]:
+            assert response.endswith(b'0\r\n\r\n')
+        assert server.counts.passed_on_count > 0
+        assert not server.counts.pass_failed_count
+
+
+@run_async
+async def test_a_peer_that_ends_closes_connections_without_an_answer() -> None:
+    """Guards against callers that can't tell whether a request was read."""
+
+    async def end(exchange: ServerExchange) -> None:
+        await exchange.read_body(1_000_000)
+        exchange.abort()
+
+    async with (
+        HttpServer('127.0.0.1:0', end) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', echo) as server,
+    ):
+        for stream in send_together(server):
+            response = await read_response(stream)
+            is_served = response.startswith(b'HTTP/1.1 200')
+            assert is_served or response.startswith(b'HTTP/1.1 502')
+        policy = server._intake
+        assert isinstance(policy, Policy)
+        kinds = {(one.kind, one.executed) for one in policy.errors}
+        assert kinds == {(ErrorKind.ROUTER_FAILED, Executed.UNKNOWN)}
+
+
+@run_async
+async def test_requests_without_a_time_limit_are_passed_on() -> None:
+    """Guards against a wait that nothing ends; such requests stay here."""
+    async with (
+        HttpServer('127.0.0.1:0', echo) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', echo, None) as server,
+    ):
+        for stream in send_together(server):
+            response = await read_response(stream)
+            assert response.startswith(b'HTTP/1.1 200')
+        assert not server.counts.passed_on_count
+
+
 @run_async
 async def test_a_stop_waits_for_requests_that_were_passed_on() -> None:
     """Guards against a planned stop that cuts off responses of others."""
