Keep HTTP/1.0 requests at the router that receives them

A caller with HTTP/1.0 whose request a flooded router had passed on could take half a response for a whole one when the other router was killed.

Cause: a response without a length ends with its connection there, and the kernel ends the connection of a killed process regularly. The relay can't see the difference.

Evidence: with a peer that ends its connection after the first half, the new test got it as a response that ends regularly. It was found by reading, while the waits of the relay were listed; no user has reported it.

Such requests are served by the router that receives them, also while it is flooded.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -116,6 +116,8 @@
 _MAX_WAITING_COUNT: Final = 64
 # While so many requests wait, the processor is saturated.
 _SATURATED_WAITING_COUNT: Final = 16
+_LINE_END: Final = b'\r\n'
+_UNFRAMED_VERSION: Final = b'HTTP/1.0'
 _DRAIN_CHECK_SECONDS: Final = 0.02
 # Several round trips to a caller that has connected just before a stop.
 _FIRST_REQUEST_SECONDS: Final = 0.3
@@ -786,7 +788,12 @@
         """
         if self._intake is None or not self._is_saturated:
             return None
-        if HEAD_END not in connection.buffer_arrived():
+        request_line = connection.buffer_arrived().partition(_LINE_END)[0]
+        if HEAD_END not in connection.buffered:
+            return None
+        if request_line.endswith(_UNFRAMED_VERSION):
+            # Its response may end with the connection, and that of a process
+            # that is killed ends regularly.
             return None
         host = connection.client.partition(':')[0]
         return self._intake.choose_peer(connection.flow, host)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -358,6 +358,33 @@
         assert not server.counts.passed_on_count
 
 
+@run_async
+async def test_a_killed_peer_ends_a_response_without_a_length() -> None:
+    """Guards against half a response that looks complete.
+
+    The connection of a process that is killed ends regularly, which is the end
+    of a response without a length in HTTP/1.0.
+    """
+
+    async def end_halfway(exchange: ServerExchange) -> None:
+        await exchange.start_stream(200, (), b'the first half')
+        exchange.stream.write_eof()
+
+    async with (
+        HttpServer('127.0.0.1:0', end_halfway) as peer,
+        saturated_server(f'127.0.0.1:{peer.port}', echo) as server,
+    ):
+        requests = [
+            b'GET /%d HTTP/1.0\r\nHost: h\r\n\r\n' % number
+            for number in range(FLOOD_COUNT)
+        ]
+        for number, stream in enumerate(
+            send_all(f'127.0.0.1:{server.port}', requests)
+        ):
+            response = await read_response(stream)
+            assert response.endswith(b'/%d 0' % number)
+
+
 @run_async
 async def test_a_stop_waits_for_requests_that_were_passed_on() -> None:
     """Guards against a planned stop that cuts off responses of others."""
