Ignore late writes of targets that have left

Callers lost requests at a server that had left: after its entry was removed from the store, all routers began to send to it again, until it exited.

Cause: a write that the store has not answered may be performed seconds later. The registry kept nothing of a start whose entry had disappeared, so the old entry was that of a new target. The class is what a list says without saying when it was written.

A start whose entry disappears is remembered. Its entry is used again if it is written later than a late write can be, or is still there when that of a late write has expired. A new start is used at once, and so is an entry that lapsed in an outage, was overwritten, or disappeared together with all others. A start that was leaving stays out.

--- /dev/null
+++ b/src/dotterelhatch/core/departures.py
@@ -0,0 +1,69 @@
+"""Starts of targets whose entries have disappeared from their list."""
+
+from typing import Final
+
+from dotterelhatch.ids import TargetId
+
+__all__ = ('TargetDepartures', 'TargetStart')
+
+# The platform may perform a write that it has not answered this much later.
+_LATE_WRITE_SECONDS: Final = 6.0
+# Until a router reads the change of an entry.
+_READ_DELAY_SECONDS: Final = 1.0
+# Times that a target fails to renew its entry before that expires.
+_MISSED_RENEWALS_COUNT: Final = 3
+
+TargetStart = tuple[TargetId, int]
+
+
+class TargetDepartures:
+    """Tells a target that is back from a late write of one that has left.
+
+    The list shows what was written and not when it was sent. An entry of the
+    same start shows a live target if it is written later than any late write,
+    or if it is still listed when that of a late write has expired.
+
+    :param renewal_seconds: interval at which targets renew their entries.
+    """
+
+    def __init__(self, renewal_seconds: float) -> None:
+        """Start without departures."""
+        self._doubt_seconds = (
+            _LATE_WRITE_SECONDS
+            + _MISSED_RENEWALS_COUNT * renewal_seconds
+            + _READ_DELAY_SECONDS
+        )
+        self._departed_seconds: dict[TargetStart, float] = {}
+
+    def __contains__(self, start: TargetStart) -> bool:
+        """Return whether an entry of this start may be a late write."""
+        return start in self._departed_seconds
+
+    def on_departed(self, start: TargetStart, now_seconds: float) -> None:
+        """Remember a start whose entry has disappeared."""
+        self._departed_seconds[start] = now_seconds
+
+    def on_written(self, start: TargetStart, now_seconds: float) -> None:
+        """Apply a new entry of a start."""
+        departed_seconds = self._departed_seconds.get(start)
+        if departed_seconds is None:
+            return
+        if now_seconds - departed_seconds > (
+            _LATE_WRITE_SECONDS + _READ_DELAY_SECONDS
+        ):
+            self._departed_seconds.pop(start)
+
+    def expire(self, now_seconds: float) -> set[TargetStart]:
+        """Forget departures that no late write can follow any more.
+
+        :returns: their starts. One that is listed is in use again.
+        """
+        oldest_seconds = now_seconds - self._doubt_seconds
+        expired = {
+            start
+            for start, departed_seconds in self._departed_seconds.items()
+            if departed_seconds <= oldest_seconds
+        }
+        for start in expired:
+            self._departed_seconds.pop(start)
+        return expired
--- a/src/dotterelhatch/core/explanations.py
+++ b/src/dotterelhatch/core/explanations.py
@@ -39,6 +39,7 @@
 
     LEAVING = 'leaving'
     REPLACED = 'replaced'
+    DEPARTED = 'departed'
     EVACUATED = 'evacuated'
     COLD = 'cold'
     PAUSED = 'paused'
@@ -156,8 +157,17 @@
 @_check(Exclusion.REPLACED)
 def _replaced_seconds(question: _Question, entry: TargetEntry) -> float | None:
     """Return whether another instance answered, or this one said it leaves."""
-    is_usable = question.state.registry.is_usable(entry)
-    return None if is_usable else _UNKNOWN_SECONDS
+    registry = question.state.registry
+    is_excluded = not (
+        registry.is_usable(entry) or registry.may_have_left(entry)
+    )
+    return _UNKNOWN_SECONDS if is_excluded else None
+
+
+@_check(Exclusion.DEPARTED)
+def _departed_seconds(question: _Question, entry: TargetEntry) -> float | None:
+    may_have_left = question.state.registry.may_have_left(entry)
+    return _UNKNOWN_SECONDS if may_have_left else None
 
 
 @_check(Exclusion.EVACUATED)
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -2,10 +2,11 @@
 
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Container, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
+from dotterelhatch.core.departures import TargetDepartures, TargetStart
 from dotterelhatch.ids import FailureDomain, ServiceId, TargetId
 
 __all__ = ('TargetEntry', 'TargetRegistry', 'TargetState')
@@ -47,6 +48,11 @@
     cold_left_seconds: float = field(default=0, compare=False)
     row_version: int = field(default=0, compare=False)
 
+    @property
+    def start(self) -> TargetStart:
+        """Return what distinguishes the starts of all targets."""
+        return self.id, self.started_ms
+
 
 class TargetRegistry:
     """The current targets of all services.
@@ -57,17 +63,25 @@
     grace period from then on, because entries expire when they cannot be
     renewed. It may also be that of a target that has left.
 
+    Without an outage, a target whose entry disappears has left, unless all
+    entries do. Its start is used again only once its entry can't be a late
+    write any more.
+
     :param departure_seconds: time after which a target that has left must get
         no requests.
+    :param renewal_seconds: interval at which targets renew their entries.
     """
 
-    def __init__(self, departure_seconds: float = 2.0) -> None:
+    def __init__(
+        self, departure_seconds: float = 2.0, renewal_seconds: float = 1.2
+    ) -> None:
         """Create an empty registry."""
+        self._departures = TargetDepartures(renewal_seconds)
         self._grace_seconds = max(0, departure_seconds - _MAX_NOTICE_SECONDS)
         self._entries: dict[TargetId, TargetEntry] = {}
         self._lapsed_until_seconds: dict[TargetId, float] = {}
         # Starts of targets that are not used, whatever the list says.
-        self._unusable: set[tuple[TargetId, int]] = set()
+        self._unusable: set[TargetStart] = set()
         self._evacuated: frozenset[FailureDomain] = frozenset()
         self._ready_by_service: dict[ServiceId, tuple[TargetEntry, ...]] = {}
 
@@ -81,33 +95,32 @@
         now_seconds: float,
         *,
         regained_seconds: float | None = None,
+        unreadable: Collection[TargetId] = (),
     ) -> list[TargetEntry]:
         """Replace the entries by a complete list.
 
         :param regained_seconds: end of the last outage in which entries may
             have expired, None if there was none.
+        :param unreadable: targets that are listed, but not as usable entries.
         :returns: new and changed entries. An entry that disappeared is
             returned with the state ``LEAVING``.
         """
         current = {entry.id: self._keep_leaving(entry) for entry in listed}
-        window_until = (
-            -math.inf
-            if regained_seconds is None
-            else regained_seconds + _LAPSE_WINDOW_SECONDS
-        )
-        changed = [
-            entry
-            for entry in current.values()
-            if self._entries.get(entry.id) != entry
-        ]
-        for target, entry in self._entries.items():
-            if target in current:
-                self._lapsed_until_seconds.pop(target, None)
-            elif self._is_kept(entry, now_seconds, window_until):
-                current[target] = entry
-            else:
-                changed.append(replace(entry, state=TargetState.LEAVING))
-                self._lapsed_until_seconds.pop(target, None)
+        self._note_written(current.values(), now_seconds)
+        changed = list(filter(self._is_changed, current.values()))
+        window_until = _window_until(regained_seconds)
+        for target in current.keys() & self._lapsed_until_seconds.keys():
+            self._lapsed_until_seconds.pop(target)
+        # A list that is suddenly empty has lost its content.
+        is_content_lost = not current and len(self._entries) > 1
+        for entry in self._unlisted(current):
+            if self._is_kept(entry, now_seconds, window_until):
+                current[entry.id] = entry
+                continue
+            changed.append(replace(entry, state=TargetState.LEAVING))
+            if not (is_content_lost or entry.id in unreadable):
+                self._on_departed(entry, now_seconds)
+            self._lapsed_until_seconds.pop(entry.id, None)
         self._entries = current
         self._rebuild_ready()
         return changed
@@ -144,11 +157,24 @@
             self._rebuild_ready()
         return dropped
 
+    def readmit(self, now_seconds: float) -> list[TargetEntry]:
+        """Use the targets whose entries are no late writes, as time shows.
+
+        :returns: their entries.
+        """
+        starts = self._departures.expire(now_seconds)
+        readmitted = [
+            entry for entry in self._entries.values() if entry.start in starts
+        ]
+        if readmitted:
+            self._rebuild_ready()
+        return readmitted
+
     def mark_replaced(self, target: TargetId) -> None:
         """Stop using a target whose address now belongs to another instance."""
         entry = self._entries.get(target)
         if entry is not None:
-            self._unusable.add((target, entry.started_ms))
+            self._unusable.add(entry.start)
             self._rebuild_ready()
 
     def mark_leaving(self, entry: TargetEntry) -> bool:
@@ -157,20 +183,25 @@
         :param entry: of the target at the time when its request was sent.
         :returns: whether this was not known yet.
         """
-        start = (entry.id, entry.started_ms)
-        if start in self._unusable:
+        if entry.start in self._unusable:
             return False
-        self._unusable.add(start)
+        self._unusable.add(entry.start)
         self._rebuild_ready()
         return True
 
     def is_usable(self, entry: TargetEntry) -> bool:
         """Return whether this start of a target may get new requests.
 
-        False if it said that it leaves, or if another instance has its
-        address.
+        False if it said that it leaves, if another instance has its address,
+        or if its entry may be a late write of a target that has left.
         """
-        return (entry.id, entry.started_ms) not in self._unusable
+        return not (
+            entry.start in self._unusable or entry.start in self._departures
+        )
+
+    def may_have_left(self, entry: TargetEntry) -> bool:
+        """Return whether an entry may be a late write."""
+        return entry.start in self._departures
 
     def set_evacuated(self, domains: frozenset[FailureDomain]) -> None:
         """Use no targets of these failure domains, also of later entries."""
@@ -251,6 +282,30 @@
             self._lapsed_until_seconds[entry.id] = lapsed_until
         return now_seconds < lapsed_until
 
+    def _note_written(
+        self, listed: Iterable[TargetEntry], now_seconds: float
+    ) -> None:
+        for entry in listed:
+            known = self._entries.get(entry.id)
+            if known is None or known.row_version != entry.row_version:
+                self._departures.on_written(entry.start, now_seconds)
+
+    def _on_departed(self, entry: TargetEntry, now_seconds: float) -> None:
+        if entry.state is TargetState.LEAVING:
+            self._unusable.add(entry.start)
+        elif entry.id not in self._lapsed_until_seconds:
+            self._departures.on_departed(entry.start, now_seconds)
+
+    def _is_changed(self, entry: TargetEntry) -> bool:
+        return self._entries.get(entry.id) != entry
+
+    def _unlisted(self, listed: Container[TargetId]) -> list[TargetEntry]:
+        return [
+            entry
+            for target, entry in self._entries.items()
+            if target not in listed
+        ]
+
     def _keep_leaving(self, entry: TargetEntry) -> TargetEntry:
         known = self._entries.get(entry.id)
         if known is None or known.started_ms != entry.started_ms:
@@ -275,3 +330,10 @@
             if former.get(service) == ready:
                 ready = former[service]
             self._ready_by_service[service] = ready
+
+
+def _window_until(regained_seconds: float | None) -> float:
+    """Return until when entries may disappear because of an outage."""
+    if regained_seconds is None:
+        return -math.inf
+    return regained_seconds + _LAPSE_WINDOW_SECONDS
--- a/src/dotterelhatch/gateway/settings.py
+++ b/src/dotterelhatch/gateway/settings.py
@@ -65,6 +65,8 @@
         is compared.
     :param target_departure_seconds: time after which a target that has left
         must get no requests.
+    :param target_renewal_seconds: interval at which targets renew their
+        entries in the list.
     :param repeats: budget of retries to targets.
     :param has_fewer_heartbeats_elsewhere: whether a large fleet sends fewer
         heartbeats to other failure domains.
@@ -86,6 +88,7 @@
     descriptors_limit_count: int = Field(default=4096, gt=0)
     share_window_seconds: float = Field(default=4.0, gt=0)
     target_departure_seconds: float = Field(default=2.0, gt=0)
+    target_renewal_seconds: float = Field(default=1.2, gt=0)
     repeats: RetryBudgetSettings = RetryBudgetSettings()
     leaving: LeavingSettings = LeavingSettings()
     has_fewer_heartbeats_elsewhere: bool = True
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -3,7 +3,7 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any, Final
 
 import curio
@@ -102,7 +102,9 @@
         self.table: RoutingTable | None = None
         self.metrics = GatewayMetrics()
         self.load_report = LoadReport(self.metrics)
-        self.registry = TargetRegistry(settings.target_departure_seconds)
+        self.registry = TargetRegistry(
+            settings.target_departure_seconds, settings.target_renewal_seconds
+        )
         self.evacuations = Evacuations()
         self.load_tracker = LoadTracker()
         self.health = TargetHealth()
@@ -613,27 +615,36 @@
         self,
         entries: Iterable[TargetEntry],
         regained_seconds: float | None,
+        unreadable: Collection[TargetId] = (),
     ) -> None:
         """Apply a list of targets.
 
         :param regained_seconds: end of the last outage of the source in which
             entries may have expired, None if there was none.
+        :param unreadable: targets whose entries are malformed.
         """
         formerly_lapsed = self.registry.lapsed
         listed = tuple(entries)
         # Before the registry offers the entries to requests.
         self._log_cold(self.warmup.on_entries(listed, self.clock()))
         changed = self.registry.apply(
-            listed, self.clock(), regained_seconds=regained_seconds
+            listed,
+            self.clock(),
+            regained_seconds=regained_seconds,
+            unreadable=unreadable,
         )
         self._log_lapsed(formerly_lapsed, regained_seconds)
         self._on_targets_changed(changed)
 
     def expire_targets(self) -> None:
-        """Remove targets that were not listed again after an outage."""
+        """Remove targets that were not listed again after an outage.
+
+        Those that are back are used again.
+        """
         self._on_targets_changed(
             self.registry.expire(self.clock()), is_grace_over=True
         )
+        self._on_targets_changed(self.registry.readmit(self.clock()))
 
     def _log_cold(self, entries: Iterable[TargetEntry]) -> None:
         now_seconds = self.clock()
@@ -685,6 +696,7 @@
                 is_listed=not is_grace_over
                 and self.registry.is_known(entry.id),
                 is_grace_over=is_grace_over,
+                may_have_left=self.registry.may_have_left(entry),
             )
             services.add(entry.service)
             if entry.state is TargetState.LEAVING:
--- a/src/dotterelhatch/platform/feeds.py
+++ b/src/dotterelhatch/platform/feeds.py
@@ -16,6 +16,7 @@
 from dotterelhatch.gateway.daemon import Gateway
 from dotterelhatch.gateway.decisions import Decision, log_decision
 from dotterelhatch.gateway.snapshots import InvalidSnapshotError, Snapshot
+from dotterelhatch.ids import TargetId
 from dotterelhatch.jsonmodel import InvalidDocumentError, JsonModel
 from dotterelhatch.platform.documents import (
     configuration_version,
@@ -400,7 +401,9 @@
         state.metrics.ignored_rows.labels(_SERVER_TABLE).set(
             len(rows) - len(targets)
         )
-        state.apply_targets(targets, self._regained_seconds)
+        unreadable = {TargetId(row.key) for row in rows}
+        unreadable -= {target.id for target in targets}
+        state.apply_targets(targets, self._regained_seconds, unreadable)
 
     def _restore_if_newer(self, snapshot: Snapshot) -> TableMirror:
         mirror = self._mirrors[snapshot.name]
--- a/src/dotterelhatch/platform/settings.py
+++ b/src/dotterelhatch/platform/settings.py
@@ -210,6 +210,7 @@
         ),
         share_window_seconds=bounds.quota_window_s,
         target_departure_seconds=bounds.drain_ms / _MILLISECONDS_PER_SECOND,
+        target_renewal_seconds=document.heartbeat_ms / _MILLISECONDS_PER_SECOND,
         repeats=RetryBudgetSettings(
             window_seconds=bounds.budget_window_s,
             ratio=bounds.retry_budget_ratio,
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -111,6 +111,24 @@
             await until(lambda: router.targets == [])
 
 
+@run_async
+async def test_a_late_write_of_a_server_that_has_left_is_used() -> None:
+    """Guards against requests to a server that is gone for the store."""
+    store = filled_store()
+    store.put('servers', 'i-2', SERVER)
+    async with HttpServer('127.0.0.1:0', store) as server:
+        async with open_router(f'127.0.0.1:{server.port}') as router:
+            await until(lambda: router.targets == ['i-1', 'i-2'])
+            store.delete('servers', 'i-2')
+            await until(lambda: router.targets == ['i-1'])
+            store.put('servers', 'i-2', SERVER)
+            store.put('servers', 'i-3', SERVER)
+            await until(lambda: 'i-3' in router.targets)
+            assert router.targets == ['i-1', 'i-3']
+            store.put('servers', 'i-2', SERVER | {'born': 10**12})
+            await until(lambda: router.targets == ['i-1', 'i-2', 'i-3'])
+
+
 @pytest.mark.parametrize('routers_count', [1, 4, 33, 370])
 def test_calls_to_the_store_do_not_grow_with_each_router(
     routers_count: int,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -183,3 +183,117 @@
     registry.mark_leaving(former)
     assert _names(registry) == ['a']
     assert not registry.is_usable(former)
+
+
+RENEWAL_SECONDS = 1.2
+
+
+def _registry_after_departure(**changes: object) -> TargetRegistry:
+    """Return a registry whose target "a" has disappeared at 10 s."""
+    registry = TargetRegistry(renewal_seconds=RENEWAL_SECONDS)
+    registry.apply([_entry('a', **changes), _entry('b')], 0)
+    registry.apply([_entry('b')], 10)
+    return registry
+
+
+@pytest.mark.parametrize('written_seconds', [10.1, 12.4, 15.9])
+def test_a_late_write_brings_back_a_target_that_has_left(
+    written_seconds: float,
+) -> None:
+    """Guards against requests to a target after its entry was removed.
+
+    The platform performs a write that it has not answered seconds later. The
+    entry expires when the target does not renew it.
+    """
+    registry = _registry_after_departure(row_version=1)
+    late = _entry('a', row_version=3)
+    registry.apply([late, _entry('b')], written_seconds)
+    assert _names(registry) == ['b']
+    assert not registry.is_usable(late)
+    expired_seconds = written_seconds + 3 * RENEWAL_SECONDS
+    registry.readmit(expired_seconds)
+    assert _names(registry) == ['b']
+    registry.apply([_entry('b')], expired_seconds)
+    registry.readmit(expired_seconds + 60)
+    assert _names(registry) == ['b']
+
+
+def test_a_new_start_of_a_target_that_has_left_waits() -> None:
+    """Guards against a restart that is taken for a late write."""
+    registry = _registry_after_departure()
+    registry.apply([_entry('a', started_ms=200), _entry('b')], 10.1)
+    assert _names(registry) == ['a', 'b']
+
+
+def test_a_target_that_expired_in_an_outage_waits_when_it_is_back() -> None:
+    """Guards against an outage after which sound targets are not used.
+
+    They register again under the same start, some after the grace period.
+    """
+    registry = TargetRegistry()
+    registry.apply([_entry('a'), _entry('b')], 0)
+    registry.apply([], 10, regained_seconds=10)
+    registry.expire(13)
+    assert not _names(registry)
+    registry.apply([_entry('a')], 13.1, regained_seconds=10)
+    assert _names(registry) == ['a']
+    registry.apply([_entry('a'), _entry('b')], 14, regained_seconds=10)
+    assert _names(registry) == ['a', 'b']
+
+
+def test_a_target_that_was_cut_off_from_its_list_is_lost_for_good() -> None:
+    """Guards against a live target that is taken for one that has left.
+
+    A write after any late one shows that it is alive, and so does an entry
+    that is still there when that of a late write has expired.
+    """
+    registry = _registry_after_departure(row_version=1)
+    registry.apply([_entry('a', row_version=3)], 12)
+    registry.readmit(20)
+    assert not _names(registry)
+    readmitted = registry.readmit(21)
+    assert [one.id for one in readmitted] == ['a']
+    assert _names(registry) == ['a']
+    registry = _registry_after_departure(row_version=1)
+    registry.apply([_entry('a', row_version=3)], 17.5)
+    assert _names(registry) == ['a']
+
+
+def test_a_late_write_brings_back_a_target_that_was_leaving() -> None:
+    """Guards against a drain that ends with the entry of the target."""
+    registry = _registry_after_departure(state=TargetState.LEAVING)
+    registry.apply([_entry('a')], 60)
+    registry.readmit(120)
+    assert not _names(registry)
+    registry.apply([_entry('a', started_ms=200)], 121)
+    assert _names(registry) == ['a']
+
+
+def test_a_malformed_entry_counts_as_a_departure() -> None:
+    """Guards against the loss of a target whose entry was overwritten once.
+
+    Other programs write to the list, too, and the target writes it again.
+    """
+    registry = TargetRegistry()
+    registry.apply([_entry('a')], 0)
+    registry.apply([], 1, unreadable={TargetId('a')})
+    assert not _names(registry)
+    registry.apply([_entry('a')], 2)
+    assert _names(registry) == ['a']
+
+
+def test_an_empty_list_is_taken_for_the_departure_of_all_targets() -> None:
+    """Guards against a service without targets when the list is filled again.
+
+    A list with one entry can't be told from one that has lost its content.
+    """
+    registry = TargetRegistry()
+    registry.apply([_entry('a'), _entry('b')], 0)
+    registry.apply([], 1)
+    assert not _names(registry)
+    registry.apply([_entry('a'), _entry('b')], 2)
+    assert _names(registry) == ['a', 'b']
+    registry.apply([_entry('b')], 3)
+    registry.apply([], 4)
+    registry.apply([_entry('b')], 5)
+    assert not _names(registry)
