Let time end what peers reported of their load

Callers of the last router of a fleet got 429 for nearly all requests to idle engines, until another router sent it a heartbeat: it counted the streams of the lost routers as running.

Cause: a report of loads expired when another one arrived. That was meant for a router that is cut off while its peers serve on, and had no end for one that is left alone.

Reports now age by the clock. While most routers hear each other they hold for 2 s. If half of the routers or more are silent they hold for 5 s, then the load is given up over 3 s, and where a target rejects a request or begins it late it is assumed again.

--- a/emulator/policies.py
+++ b/emulator/policies.py
@@ -16,6 +16,8 @@
 from dotterelhatch.core.enginememory import FinishedStream
 from dotterelhatch.core.fairshare import FairShareTracker
 from dotterelhatch.core.load import InFlightRequest, LoadTracker, TargetLoad
+from dotterelhatch.core.peers import is_minority
+from dotterelhatch.core.peersums import REPORT_LIFETIME_SECONDS
 from dotterelhatch.core.prompts import Prompt, PromptPart, SentPrompt
 from dotterelhatch.core.registry import (
     TargetEntry,
@@ -233,6 +235,7 @@
             tuple[InFlightRequest, Placement, IncomingRequest]
         ] = []
         self._sent: list[SentPrompt] = []
+        self._heard_seconds: dict[RouterId, float] = {}
 
     def choose(
         self, request: IncomingRequest, now_seconds: float
@@ -268,9 +271,11 @@
         loads: dict[TargetId, TargetLoad] = dict(self._load_tracker.local_loads)
         usages = dict(self._fair_shares.local_usages)
         counts = dict(self._window.local_counts(now_seconds))
+        self._expire_reports(now_seconds)
         speeds = self._speeds.report(now_seconds)
         for other in others:
             if isinstance(other, GatewayPolicy):
+                other._heard_seconds[self.name] = now_seconds
                 other._load_tracker.on_report(self.name, loads, now_seconds)
                 other._fair_shares.on_report(self.name, usages, now_seconds)
                 other._window.on_report(self.name, counts, now_seconds)
@@ -292,10 +297,14 @@
             placement.entry, None, in_flight.started_seconds, now_seconds
         )
         self._health.on_received(in_flight.target, now_seconds)
+        taken_seconds = now_seconds - in_flight.started_seconds
         self._health.on_latency(
+            in_flight.target, placement.expected_seconds, taken_seconds
+        )
+        self._load_tracker.on_begun(
             in_flight.target,
-            placement.expected_seconds,
-            now_seconds - in_flight.started_seconds,
+            taken_seconds - placement.expected_seconds,
+            now_seconds,
         )
         self._speeds.on_first_event(
             placement.entry,
@@ -346,6 +355,16 @@
         )
         self._registry.apply(self._entries, now_seconds)
 
+    def _expire_reports(self, now_seconds: float) -> None:
+        live_count = sum(
+            now_seconds - heard_seconds <= REPORT_LIFETIME_SECONDS
+            for heard_seconds in self._heard_seconds.values()
+        )
+        self._load_tracker.expire(
+            now_seconds,
+            is_isolated=is_minority(live_count, len(self._heard_seconds)),
+        )
+
     def _placement_request(
         self, request: IncomingRequest, now_seconds: float
     ) -> PlacementRequest:
--- a/src/dotterelhatch/core/fairshare.py
+++ b/src/dotterelhatch/core/fairshare.py
@@ -182,6 +182,10 @@
             self._fair_share = self._compute_fair_share(now_seconds)
         return self._fair_share.tokens
 
+    def expire_reports(self, now_seconds: float) -> None:
+        """Drop the usage that silent peers reported."""
+        self._reported.expire(now_seconds)
+
     def total_usage(self, organisation: OrganisationId) -> Usage:
         """Return the usage of an organisation at all routers."""
         local = self._local.get(organisation, _ZERO)
--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -34,6 +34,7 @@
     'evidence_interval_seconds',
     'heartbeat_interval_seconds',
     'heartbeat_plan',
+    'is_minority',
     'longest_interval_seconds',
     'receive_pause_seconds',
 )
@@ -274,11 +275,19 @@
         smaller side of a network partition. Those that were live last are
         returned then, as they probably still use their share.
         """
-        live = self.live(now_seconds)
+        if self.is_isolated(now_seconds):
+            return self.heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
+        return self.live(now_seconds)
+
+    def is_isolated(self, now_seconds: float) -> bool:
+        """Return whether half of the routers or more are silent.
+
+        They may be lost, or this router is cut off from them. Those that have
+        been silent for too long are not counted.
+        """
+        live_count = len(self.live(now_seconds))
         recent = self.heard_since(now_seconds - _ISOLATION_TIMEOUT_SECONDS)
-        if 2 * (len(live) + 1) > len(recent) + 1:
-            return live
-        return recent
+        return is_minority(live_count, len(recent))
 
     def failure_domains(self) -> Mapping[str, FailureDomain]:
         """Return the failure domain of each heartbeat address heard so far."""
@@ -365,6 +374,15 @@
         return True
 
 
+def is_minority(live_count: int, recent_count: int) -> bool:
+    """Return whether a router hears too few peers to know the fleet.
+
+    :param live_count: peers that are heard.
+    :param recent_count: peers that were heard recently.
+    """
+    return 2 * (live_count + 1) <= recent_count + 1
+
+
 def heartbeat_interval_seconds(peers_count: int) -> float:
     """Return the interval between two heartbeats."""
     return max(_MIN_INTERVAL_SECONDS, _INTERVAL_PER_PEER_SECONDS * peers_count)
--- a/src/dotterelhatch/core/peersums.py
+++ b/src/dotterelhatch/core/peersums.py
@@ -1,16 +1,16 @@
 """Sums of the counts that the peers of a router report."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final, Generic, Protocol, Self, TypeVar
 
 from dotterelhatch.ids import RouterId
 
-__all__ = ('PeerSums', 'Summable')
+__all__ = ('REPORT_LIFETIME_SECONDS', 'PeerSums', 'Summable')
 
 # Heartbeats are sent several times a second; a peer that sent none for this
 # long has stopped or is unreachable.
-_REPORT_LIFETIME_SECONDS: Final = 2.0
+REPORT_LIFETIME_SECONDS: Final = 2.0
 
 
 class Summable(Protocol):
@@ -41,11 +41,19 @@
     that its cost follows what has changed and not the number of peers.
 
     :param zero: the counts of a key that no peer reports.
+    :param on_expired: is called with the counts of each report that expires.
+    :ivar lifetime_seconds: how long a report holds without a further one.
     """
 
-    def __init__(self, zero: SummableT) -> None:
+    def __init__(
+        self,
+        zero: SummableT,
+        on_expired: Callable[[Mapping[KeyT, SummableT]], None] | None = None,
+    ) -> None:
         """Create sums without reports."""
+        self.lifetime_seconds = REPORT_LIFETIME_SECONDS
         self._zero = zero
+        self._on_expired = on_expired
         self._reports: dict[RouterId, _Report[KeyT, SummableT]] = {}
         self._sums: dict[KeyT, SummableT] = {}
 
@@ -72,7 +80,7 @@
 
     def expire(self, now_seconds: float) -> None:
         """Drop the reports of peers that sent none within the lifetime."""
-        oldest_seconds = now_seconds - _REPORT_LIFETIME_SECONDS
+        oldest_seconds = now_seconds - self.lifetime_seconds
         while self._reports:
             # A report that is replaced moves to the end.
             router, report = next(iter(self._reports.items()))
@@ -80,6 +88,8 @@
                 return
             self._reports.pop(router)
             self._replace(report.counts, {})
+            if self._on_expired is not None:
+                self._on_expired(report.counts)
 
     def _replace(
         self, former: Mapping[KeyT, SummableT], counts: Mapping[KeyT, SummableT]
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -515,6 +515,8 @@
             attempt.outcome = AttemptOutcome.SHED
             if wire.is_misdirected(response.status):
                 state.registry.mark_replaced(target)
+            else:
+                state.load_tracker.on_rejected(target, state.clock())
             await _discard_body(response)
             return self._after_shed(attempt, response)
         self._check_status(attempt, response)
@@ -642,10 +644,11 @@
                 attempt.first_event_seconds = now_seconds
                 in_flight.on_first_event()
                 self._note_begun(attempt)
-                state.health.on_latency(
-                    target,
-                    attempt.placement.expected_seconds,
-                    now_seconds - attempt.started_seconds,
+                expected_seconds = attempt.placement.expected_seconds
+                taken_seconds = now_seconds - attempt.started_seconds
+                state.health.on_latency(target, expected_seconds, taken_seconds)
+                state.load_tracker.on_begun(
+                    target, taken_seconds - expected_seconds, now_seconds
                 )
                 self._learn_prompt_speed(attempt, now_seconds)
             elif not attempt.has_survived and (
--- a/src/dotterelhatch/gateway/daemon.py
+++ b/src/dotterelhatch/gateway/daemon.py
@@ -316,7 +316,7 @@
         )
 
     def _receive_pause_seconds(self) -> float:
-        return receive_pause_seconds(self.state.peers.max_live_count - 1)
+        return receive_pause_seconds(self.state.routers_count() - 1)
 
     async def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         state = self.state
@@ -424,6 +424,7 @@
             await self._run_step(self._decide)
 
     async def _decide(self) -> None:
+        self.state.expire_peer_reports()
         self.state.expire_targets()
         self.state.expire_evacuations()
         if self.state.decide_crash_causes():
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -636,6 +636,15 @@
         self._log_lapsed(formerly_lapsed, regained_seconds)
         self._on_targets_changed(changed)
 
+    def expire_peer_reports(self) -> None:
+        """Give up what silent peers have reported of their requests."""
+        now_seconds = self.clock()
+        self.load_tracker.expire(
+            now_seconds, is_isolated=self.peers.is_isolated(now_seconds)
+        )
+        for shares in (self.fair_shares, *self.plain_shares.values()):
+            shares.expire_reports(now_seconds)
+
     def expire_targets(self) -> None:
         """Remove targets that were not listed again after an outage.
 
