Forget rejected requests of peers at the end of their lifetime

A request could count as a late retry up to 16 s after it was first sent, and wait for idle capacity, where 8 s are meant.

Cause: entries are dropped from the oldest report on, and a peer may report an old rejection after a young one.

Evidence: the new test got an age of 9 s. It was found by reading, while the ages of all that is kept of peers were listed.

The age is compared when it is read.

--- a/src/dotterelhatch/core/rejections.py
+++ b/src/dotterelhatch/core/rejections.py
@@ -35,8 +35,10 @@
     ) -> float:
         """Return the time since the request was first sent, 0 if unknown."""
         self._evict(now_seconds)
-        sent_seconds = self._first_sent.get(fingerprint)
-        return 0 if sent_seconds is None else now_seconds - sent_seconds
+        sent_seconds = self._first_sent.get(fingerprint, now_seconds)
+        age_seconds = now_seconds - sent_seconds
+        # Reports of peers do not arrive in the order of their ages.
+        return age_seconds if age_seconds <= _LIFETIME_SECONDS else 0
 
     def on_rejected(
         self, fingerprint: Fingerprint, arrived_seconds: float
--- a/tests/test_lost_peers.py
+++ b/tests/test_lost_peers.py
@@ -7,8 +7,9 @@
 from dotterelhatch.core import load
 from dotterelhatch.core.load import LoadTracker, TargetLoad
 from dotterelhatch.core.peersums import PeerSums
+from dotterelhatch.core.rejections import RejectedRequests
 from dotterelhatch.gateway.state import GatewayState
-from dotterelhatch.ids import RouterId, TargetId
+from dotterelhatch.ids import Fingerprint, RouterId, TargetId
 from emulator.patterns import Pattern, RequestKind
 from emulator.policies import Policy
 from emulator.simulation import Simulation
@@ -87,6 +88,16 @@
     assert not sums.totals
 
 
+def test_an_old_rejection_of_a_peer_makes_a_request_late() -> None:
+    """Guards against ages above the lifetime that younger entries hide."""
+    rejected = RejectedRequests()
+    rejected.on_report(Fingerprint('a'), 0.0, 100)
+    rejected.on_report(Fingerprint('b'), 7.0, 100)
+    assert rejected.age_seconds(Fingerprint('b'), 100.5) == 7.5
+    assert not rejected.age_seconds(Fingerprint('b'), 102)
+    assert rejected.age_seconds(Fingerprint('a'), 102) == 2
+
+
 @run_async
 async def test_the_last_router_rejects_requests_to_idle_engines() -> None:
     """Guards against the same in a gateway, by its clock alone."""
