Forget peers that have been silent for a minute

The last router of a fleet kept to its part of the retry budget for ever, and a router that started again under a clock that went back was ignored by its peers until it passed the old time.

Cause: the largest number of live routers and the incarnation of a peer had no age.

Both are forgotten after a minute, for which heartbeats are sent to silent addresses too.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -52,6 +52,9 @@
 # Heartbeats are still sent to unreachable peers for this long, because a
 # network partition ends.
 _ADDRESS_LIFETIME_SECONDS: Final = 60.0
+# What is known of a silent peer is then forgotten, its incarnation included: it
+# may start again under a clock that went back.
+_PEER_LIFETIME_SECONDS: Final = 60.0
 # The queue of an engine drains within a few tenths of a second. Loads of peers
 # that are older than that are useless for the placement of requests.
 _MIN_INTERVAL_SECONDS: Final = 0.1
@@ -188,12 +191,18 @@
         self._peers: dict[RouterId, Peer] = {}
         self._addresses: dict[str, float] = {}
         self._max_live_count = 1
+        self._max_live_seconds = -math.inf
         # Live peers in the order of their latest heartbeats.
         self._heard_seconds: dict[RouterId, float] = {}
 
-    @property
-    def max_live_count(self) -> int:
-        """Return the largest number of live routers so far, with this one."""
+    def max_live_count(self, now_seconds: float) -> int:
+        """Return the largest number of live routers in the last minute.
+
+        This router is counted, too.
+        """
+        if now_seconds - self._max_live_seconds > _PEER_LIFETIME_SECONDS:
+            self._max_live_count = len(self.live(now_seconds)) + 1
+            self._max_live_seconds = now_seconds
         return self._max_live_count
 
     def add_addresses(
@@ -211,9 +220,12 @@
         """
         if heartbeat.router == self._router:
             return False
+        self._forget(now_seconds)
         known = self._peers.get(heartbeat.router)
         if known is not None and not _is_newer(heartbeat, known.heartbeat):
             return False
+        # In the order of their latest heartbeats.
+        self._peers.pop(heartbeat.router, None)
         self._peers[heartbeat.router] = Peer(
             heartbeat.without_reports(), now_seconds
         )
@@ -314,6 +326,14 @@
             if peer.received_seconds >= oldest_seconds
         ]
 
+    def _forget(self, now_seconds: float) -> None:
+        oldest_seconds = now_seconds - _PEER_LIFETIME_SECONDS
+        while self._peers:
+            router, peer = next(iter(self._peers.items()))
+            if peer.received_seconds >= oldest_seconds:
+                break
+            self._peers.pop(router)
+
     def _count_live(self, router: RouterId, now_seconds: float) -> None:
         """Update the largest number of live routers."""
         heard = self._heard_seconds
@@ -325,7 +345,9 @@
             if heard[first] >= oldest_seconds:
                 break
             heard.pop(first)
-        self._max_live_count = max(self._max_live_count, len(heard) + 1)
+        if len(heard) + 1 >= self._max_live_count:
+            self._max_live_count = len(heard) + 1
+            self._max_live_seconds = now_seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -537,7 +537,7 @@
 
     def routers_count(self) -> int:
         """Return the number of routers that share the limits of the fleet."""
-        return self.peers.max_live_count
+        return self.peers.max_live_count(self.clock())
 
     def apply_table(self, table: RoutingTable) -> None:
         """Apply a routing table unless a newer one is active."""
