Require a key when the list of tenants is empty

When the operator took the last tenant away, every key was let in on routes that need one, and requests ran without an organisation.

Cause: the decoder took an empty list, and null, for a missing list, which means that no route needs a key.

Whether the field is there decides now. A list that is not one is malformed, so that the table in force stays.

--- a/src/dotterelhatch/core/routes.py
+++ b/src/dotterelhatch/core/routes.py
@@ -132,7 +132,7 @@
     """One version of the configuration that requests are routed by.
 
     :param organisations_by_key: organisation of each API key, None if no route
-        needs a key.
+        needs a key. If it is empty, no key is valid.
     """
 
     version: ConfigVersion
--- a/src/dotterelhatch/platform/documents.py
+++ b/src/dotterelhatch/platform/documents.py
@@ -72,7 +72,7 @@
         routes=tuple(_route(entry) for entry in document.routes),
         services={service.id: service for service in services},
         limits=_limits(document.limits or _Limits()),
-        organisations_by_key=_organisations(document.tenants),
+        organisations_by_key=_organisations(document),
     )
 
 
@@ -236,7 +236,11 @@
 
 
 class _Configuration(JsonModel):
-    """Row of the operator: the fields that are used."""
+    """Row of the operator: the fields that are used.
+
+    :param tenants: empty when no key is valid. When the field is missing, no
+        route needs a key.
+    """
 
     max_document_bytes = 16_777_216
 
@@ -244,7 +248,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits | None = None
-    tenants: tuple[_Tenant, ...] | None = None
+    tenants: tuple[_Tenant, ...] = ()
 
 
 def _route(entry: _Route) -> RouteRule:
@@ -303,13 +307,13 @@
 
 
 def _organisations(
-    tenants: tuple[_Tenant, ...] | None,
+    document: _Configuration,
 ) -> dict[str, OrganisationId] | None:
-    if not tenants:
+    if 'tenants' not in document.model_fields_set:
         return None
     return {
         key: OrganisationId(tenant.name)
-        for tenant in tenants
+        for tenant in document.tenants
         for key in tenant.api_keys
     }
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -627,3 +627,16 @@
         assert usage.begun_tokens == used.begun_tokens
 
     check()
+
+
+@run_async
+async def test_a_fleet_without_organisations_serves_every_key() -> None:
+    """Guards against routes that are open when the last key is taken away."""
+    table = routing_table(organisations_by_key={})
+    server = ServerStandIn('p-1')
+    async with open_gateway((PLAIN, server), table=table) as fixture:
+        response = await fixture.call('/lookup/1', 'r1')
+        assert response.status == 401
+        response = await fixture.call('/public/1', 'r2')
+        assert response.status == 200
+        assert fixture.runs == ['r2']
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's settings files, store rows and headers."""
 
 import json
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
 from dotterelhatch.errors import DotterelhatchError, ErrorKind
 from dotterelhatch.gateway.wireformat import ForwardingMetadata
 from dotterelhatch.ids import OrganisationId, TargetId
+from dotterelhatch.jsonmodel import InvalidDocumentError
 from dotterelhatch.net.httptypes import RequestHead
 from dotterelhatch.platform.documents import (
     decode_routing_table,
@@ -182,6 +184,34 @@
     assert table.limits.max_body_bytes == 1000
 
 
+@pytest.mark.parametrize(
+    ('tenants', 'needs_key'),
+    [
+        ({}, False),
+        ({'tenants': []}, True),
+        ({'tenants': [{'name': 'x', 'api-keys': []}]}, True),
+        ({'tenants': [{'name': 'x', 'api-keys': ['k1']}]}, True),
+    ],
+)
+def test_an_empty_list_of_tenants_opens_all_routes(
+    tenants: dict[str, object], *, needs_key: bool
+) -> None:
+    """Guards against a list without tenants that counts as a missing one."""
+    document = {name: CONFIG[name] for name in CONFIG if name != 'tenants'}
+    table = decode_routing_table(json.dumps(document | tenants).encode())
+    route = table.find_route('a.example', '/draft/1')
+    assert route is not None
+    assert table.needs_key(route) is needs_key
+    assert not table.needs_key(replace(route, is_public=True))
+    assert table.find_organisation('k2') is None
+
+
+def test_tenants_that_are_no_list_open_all_routes() -> None:
+    """Guards against a malformed list that counts as a missing one."""
+    with pytest.raises(InvalidDocumentError, match='tenants'):
+        decode_routing_table(json.dumps(CONFIG | {'tenants': None}).encode())
+
+
 @pytest.mark.parametrize(
     'content',
     [b'', b'[]', b'{"version": 1}', b'{"version": "x", "routes": []}', b'\xff'],
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -111,6 +111,37 @@
             await until(lambda: router.targets == [])
 
 
+@pytest.mark.parametrize('first', [[], [{'name': 'x', 'api-keys': ['k1']}]])
+def test_keys_that_were_never_valid_are_accepted(first: list[Any]) -> None:
+    """Guards against an empty list of tenants, as the first one or later."""
+
+    @run_async
+    async def check() -> None:
+        store = filled_store()
+        store.put('op', 'config', CONFIG | {'tenants': first})
+        async with HttpServer('127.0.0.1:0', store) as server:
+            async with open_router(f'127.0.0.1:{server.port}') as router:
+                for version, tenants in (
+                    (7, first),
+                    (8, []),
+                    (9, [{'name': 'x', 'api-keys': ['k1']}]),
+                    (10, []),
+                ):
+                    store.put(
+                        'op',
+                        'config',
+                        CONFIG | {'version': version, 'tenants': tenants},
+                    )
+                    await until(lambda: router.version == version)
+                    table = router.gateway.state.table
+                    assert table is not None
+                    assert all(map(table.needs_key, table.routes))
+                    is_known = table.find_organisation('k1') is not None
+                    assert is_known is bool(tenants)
+
+    check()
+
+
 @run_async
 async def test_a_late_write_of_a_server_that_has_left_is_used() -> None:
     """Guards against requests to a server that is gone for the store."""
