Keep requests without remaining time at their router

A request whose deadline has passed was passed on by a flooded router, and its caller waited for the answer of another one. The limit of 0 s was taken for a valid one; it is rejected here now, at once. Found by reading; the test has the limit as a second case.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -809,7 +809,7 @@
         if self._intake is None:
             return False
         limit_seconds = self._intake.time_limit_seconds(exchange.head)
-        if limit_seconds is None:
+        if not limit_seconds:
             return False
         passed = PassedRequest(
             exchange.stream,
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -345,17 +345,26 @@
         assert kinds == {(ErrorKind.ROUTER_FAILED, Executed.UNKNOWN)}
 
 
-@run_async
-async def test_requests_without_a_time_limit_are_passed_on() -> None:
-    """Guards against a wait that nothing ends; such requests stay here."""
-    async with (
-        HttpServer('127.0.0.1:0', echo) as peer,
-        saturated_server(f'127.0.0.1:{peer.port}', echo, None) as server,
-    ):
-        for stream in send_together(server):
-            response = await read_response(stream)
-            assert response.startswith(b'HTTP/1.1 200')
-        assert not server.counts.passed_on_count
+@pytest.mark.parametrize('limit_seconds', [None, 0.0])
+def test_requests_without_time_are_passed_on(
+    limit_seconds: float | None,
+) -> None:
+    """Guards against a wait that nothing ends, or that is over at once."""
+
+    @run_async
+    async def check() -> None:
+        async with (
+            HttpServer('127.0.0.1:0', echo) as peer,
+            saturated_server(
+                f'127.0.0.1:{peer.port}', echo, limit_seconds
+            ) as server,
+        ):
+            for stream in send_together(server):
+                response = await read_response(stream)
+                assert response.startswith(b'HTTP/1.1 200')
+            assert not server.counts.passed_on_count
+
+    check()
 
 
 @run_async
