Let only the clock end reports of load

Half of a fleet that is cut off from the other half dropped its loads after 2 s instead of 5 s: the reports of its own side arrive more often than the ages are compared, and each of them dropped the older ones as well. Found by reading; the new test fails before the change.

A report of another peer ends none before 5 s now. In between, the clock does.

--- a/src/dotterelhatch/core/load.py
+++ b/src/dotterelhatch/core/load.py
@@ -114,7 +114,9 @@
     def __init__(self) -> None:
         """Create a tracker without load."""
         self._local: dict[TargetId, TargetLoad] = {}
-        self._reported = PeerSums[TargetId, TargetLoad](_ZERO, self._on_expired)
+        self._reported = PeerSums[TargetId, TargetLoad](
+            _ZERO, self._on_expired, _ISOLATED_LIFETIME_SECONDS
+        )
         self._is_isolated = False
         # Last reported by silent peers, and the part that is not given up.
         self._silent: dict[TargetId, TargetLoad] = {}
@@ -156,15 +158,12 @@
         :param is_isolated: whether most peers are silent.
         """
         self._is_isolated = is_isolated
-        self._reported.lifetime_seconds = (
-            _ISOLATED_LIFETIME_SECONDS
-            if is_isolated
-            else REPORT_LIFETIME_SECONDS
-        )
-        if not is_isolated:
+        if is_isolated:
+            self._reported.expire(now_seconds)
+        else:
             self._silent.clear()
             self._assumed_seconds.clear()
-        self._reported.expire(now_seconds)
+            self._reported.expire(now_seconds, REPORT_LIFETIME_SECONDS)
         self._assumed = {
             target: load.times(self._assumed_part(target, now_seconds))
             for target, load in self._silent.items()
--- a/src/dotterelhatch/core/peersums.py
+++ b/src/dotterelhatch/core/peersums.py
@@ -42,16 +42,17 @@
 
     :param zero: the counts of a key that no peer reports.
     :param on_expired: is called with the counts of each report that expires.
-    :ivar lifetime_seconds: how long a report holds without a further one.
+    :param lifetime_seconds: how long a report holds without a further one.
     """
 
     def __init__(
         self,
         zero: SummableT,
         on_expired: Callable[[Mapping[KeyT, SummableT]], None] | None = None,
+        lifetime_seconds: float = REPORT_LIFETIME_SECONDS,
     ) -> None:
         """Create sums without reports."""
-        self.lifetime_seconds = REPORT_LIFETIME_SECONDS
+        self._lifetime_seconds = lifetime_seconds
         self._zero = zero
         self._on_expired = on_expired
         self._reports: dict[RouterId, _Report[KeyT, SummableT]] = {}
@@ -78,9 +79,16 @@
         self._reports[router] = _Report(now_seconds, counts)
         self.expire(now_seconds)
 
-    def expire(self, now_seconds: float) -> None:
-        """Drop the reports of peers that sent none within the lifetime."""
-        oldest_seconds = now_seconds - self.lifetime_seconds
+    def expire(
+        self, now_seconds: float, lifetime_seconds: float | None = None
+    ) -> None:
+        """Drop the reports of peers that sent none within the lifetime.
+
+        :param lifetime_seconds: instead of that of these sums.
+        """
+        if lifetime_seconds is None:
+            lifetime_seconds = self._lifetime_seconds
+        oldest_seconds = now_seconds - lifetime_seconds
         while self._reports:
             # A report that is replaced moves to the end.
             router, report = next(iter(self._reports.items()))
--- a/tests/test_lost_peers.py
+++ b/tests/test_lost_peers.py
@@ -46,6 +46,18 @@
     assert tracker.total(TARGET) == TargetLoad()
 
 
+def test_half_of_the_peers_are_forgotten_before_they_are_missed() -> None:
+    """Guards against a cut in which the reports of this side drop the others.
+
+    They arrive more often than the ages are compared.
+    """
+    tracker = tracker_of_lost_peers()
+    tracker.expire(2.0, is_isolated=False)
+    tracker.on_report(PEERS[0], {TARGET: LOAD}, 2.05)
+    tracker.expire(2.1, is_isolated=True)
+    assert tracker.total(TARGET).requests_count == 192
+
+
 def test_a_lost_peer_is_kept_while_others_are_silent_for_a_moment() -> None:
     """Guards against loads of one lost peer that hold without reports."""
     tracker = tracker_of_lost_peers()
