Keep the order of the known peers

Peers were kept in the order of their latest heartbeats, to forget silent ones at little cost. Nothing relied on it, but lists of peers came in another order with each heartbeat. Silent ones are forgotten when the addresses are collected, and a heartbeat after their lifetime is accepted whatever its incarnation.

--- a/src/dotterelhatch/core/peers.py
+++ b/src/dotterelhatch/core/peers.py
@@ -220,12 +220,8 @@
         """
         if heartbeat.router == self._router:
             return False
-        self._forget(now_seconds)
-        known = self._peers.get(heartbeat.router)
-        if known is not None and not _is_newer(heartbeat, known.heartbeat):
+        if self._is_outdated(heartbeat, now_seconds):
             return False
-        # In the order of their latest heartbeats.
-        self._peers.pop(heartbeat.router, None)
         self._peers[heartbeat.router] = Peer(
             heartbeat.without_reports(), now_seconds
         )
@@ -310,6 +306,7 @@
 
     def addresses(self, now_seconds: float) -> list[str]:
         """Return the addresses that heartbeats are sent to."""
+        self._forget(now_seconds)
         oldest_seconds = now_seconds - _ADDRESS_LIFETIME_SECONDS
         self._addresses = {
             address: seen_seconds
@@ -326,13 +323,22 @@
             if peer.received_seconds >= oldest_seconds
         ]
 
+    def _is_outdated(self, heartbeat: Heartbeat, now_seconds: float) -> bool:
+        known = self._peers.get(heartbeat.router)
+        if known is None:
+            return False
+        age_seconds = now_seconds - known.received_seconds
+        if age_seconds > _PEER_LIFETIME_SECONDS:
+            return False
+        return not _is_newer(heartbeat, known.heartbeat)
+
     def _forget(self, now_seconds: float) -> None:
         oldest_seconds = now_seconds - _PEER_LIFETIME_SECONDS
-        while self._peers:
-            router, peer = next(iter(self._peers.items()))
-            if peer.received_seconds >= oldest_seconds:
-                break
-            self._peers.pop(router)
+        self._peers = {
+            router: peer
+            for router, peer in self._peers.items()
+            if peer.received_seconds >= oldest_seconds
+        }
 
     def _count_live(self, router: RouterId, now_seconds: float) -> None:
         """Update the largest number of live routers."""
