Use a row again that its list has left out once

Two tests of streams and rejections lost their second target: it was left out of one list and was in the next one, as the same row.

Cause: a row that is back as it was has not been written in between, so it is no late write. A late one always makes a new row version.

The tests are right and unchanged.

The version of the row is kept with the departure.

--- a/src/dotterelhatch/core/departures.py
+++ b/src/dotterelhatch/core/departures.py
@@ -1,5 +1,6 @@
 """Starts of targets whose entries have disappeared from their list."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from dotterelhatch.ids import TargetId
@@ -16,12 +17,19 @@
 TargetStart = tuple[TargetId, int]
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    seconds: float
+    row_version: int
+
+
 class TargetDepartures:
     """Tells a target that is back from a late write of one that has left.
 
     The list shows what was written and not when it was sent. An entry of the
     same start shows a live target if it is written later than any late write,
-    or if it is still listed when that of a late write has expired.
+    or if it is still listed when that of a late write has expired. A row that
+    is back as it was has not been written at all.
 
     :param renewal_seconds: interval at which targets renew their entries.
     """
@@ -33,25 +41,34 @@
             + _MISSED_RENEWALS_COUNT * renewal_seconds
             + _READ_DELAY_SECONDS
         )
-        self._departed_seconds: dict[TargetStart, float] = {}
+        self._departures: dict[TargetStart, _Departure] = {}
 
     def __contains__(self, start: TargetStart) -> bool:
         """Return whether an entry of this start may be a late write."""
-        return start in self._departed_seconds
+        return start in self._departures
 
-    def on_departed(self, start: TargetStart, now_seconds: float) -> None:
-        """Remember a start whose entry has disappeared."""
-        self._departed_seconds[start] = now_seconds
+    def on_departed(
+        self, start: TargetStart, row_version: int, now_seconds: float
+    ) -> None:
+        """Remember a start whose entry has disappeared.
 
-    def on_written(self, start: TargetStart, now_seconds: float) -> None:
-        """Apply a new entry of a start."""
-        departed_seconds = self._departed_seconds.get(start)
-        if departed_seconds is None:
+        :param row_version: of the entry.
+        """
+        self._departures[start] = _Departure(now_seconds, row_version)
+
+    def on_listed(
+        self, start: TargetStart, row_version: int, now_seconds: float
+    ) -> None:
+        """Apply a row that is new in the list."""
+        departure = self._departures.get(start)
+        if departure is None:
             return
-        if now_seconds - departed_seconds > (
-            _LATE_WRITE_SECONDS + _READ_DELAY_SECONDS
-        ):
-            self._departed_seconds.pop(start)
+        late_until_seconds = (
+            departure.seconds + _LATE_WRITE_SECONDS + _READ_DELAY_SECONDS
+        )
+        is_same_row = row_version == departure.row_version
+        if is_same_row or now_seconds > late_until_seconds:
+            self._departures.pop(start)
 
     def expire(self, now_seconds: float) -> set[TargetStart]:
         """Forget departures that no late write can follow any more.
@@ -61,9 +78,9 @@
         oldest_seconds = now_seconds - self._doubt_seconds
         expired = {
             start
-            for start, departed_seconds in self._departed_seconds.items()
-            if departed_seconds <= oldest_seconds
+            for start, departure in self._departures.items()
+            if departure.seconds <= oldest_seconds
         }
         for start in expired:
-            self._departed_seconds.pop(start)
+            self._departures.pop(start)
         return expired
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -106,7 +106,7 @@
             returned with the state ``LEAVING``.
         """
         current = {entry.id: self._keep_leaving(entry) for entry in listed}
-        self._note_written(current.values(), now_seconds)
+        self._note_listed(current.values(), now_seconds)
         changed = list(filter(self._is_changed, current.values()))
         window_until = _window_until(regained_seconds)
         for target in current.keys() & self._lapsed_until_seconds.keys():
@@ -282,19 +282,23 @@
             self._lapsed_until_seconds[entry.id] = lapsed_until
         return now_seconds < lapsed_until
 
-    def _note_written(
+    def _note_listed(
         self, listed: Iterable[TargetEntry], now_seconds: float
     ) -> None:
         for entry in listed:
             known = self._entries.get(entry.id)
             if known is None or known.row_version != entry.row_version:
-                self._departures.on_written(entry.start, now_seconds)
+                self._departures.on_listed(
+                    entry.start, entry.row_version, now_seconds
+                )
 
     def _on_departed(self, entry: TargetEntry, now_seconds: float) -> None:
         if entry.state is TargetState.LEAVING:
             self._unusable.add(entry.start)
         elif entry.id not in self._lapsed_until_seconds:
-            self._departures.on_departed(entry.start, now_seconds)
+            self._departures.on_departed(
+                entry.start, entry.row_version, now_seconds
+            )
 
     def _is_changed(self, entry: TargetEntry) -> bool:
         return self._entries.get(entry.id) != entry
