Let a report of a peer end older ones again

Without a call of the clock, the load of a lost router held for 5 s, although another one reported: test_the_load_of_a_lost_router_expires failed in a whole run. It is right and unchanged.

Cause: gave the reports of load the longer lifetime for good.

A further report ends those of more than 2.3 s, which is after the clock should have done so, and of 5 s only while most peers are silent. The test passes, and so does the one of a cut of half the fleet."

--- a/src/dotterelhatch/core/load.py
+++ b/src/dotterelhatch/core/load.py
@@ -11,6 +11,9 @@
 
 __all__ = ('InFlightRequest', 'LoadTracker', 'TargetLoad')
 
+# Other reports end one only after the clock should have done so: it may then be
+# known that most peers are silent.
+_UNCHECKED_LIFETIME_SECONDS: Final = REPORT_LIFETIME_SECONDS + 0.3
 # Lifetime of the reports while most peers are silent: they may have been lost,
 # or this router may be cut off from them.
 _ISOLATED_LIFETIME_SECONDS: Final = 5.0
@@ -114,9 +117,8 @@
     def __init__(self) -> None:
         """Create a tracker without load."""
         self._local: dict[TargetId, TargetLoad] = {}
-        self._reported = PeerSums[TargetId, TargetLoad](
-            _ZERO, self._on_expired, _ISOLATED_LIFETIME_SECONDS
-        )
+        self._reported = PeerSums[TargetId, TargetLoad](_ZERO, self._on_expired)
+        self._reported.lifetime_seconds = _UNCHECKED_LIFETIME_SECONDS
         self._is_isolated = False
         # Last reported by silent peers, and the part that is not given up.
         self._silent: dict[TargetId, TargetLoad] = {}
@@ -159,10 +161,12 @@
         """
         self._is_isolated = is_isolated
         if is_isolated:
+            self._reported.lifetime_seconds = _ISOLATED_LIFETIME_SECONDS
             self._reported.expire(now_seconds)
         else:
             self._silent.clear()
             self._assumed_seconds.clear()
+            self._reported.lifetime_seconds = _UNCHECKED_LIFETIME_SECONDS
             self._reported.expire(now_seconds, REPORT_LIFETIME_SECONDS)
         self._assumed = {
             target: load.times(self._assumed_part(target, now_seconds))
--- a/src/dotterelhatch/core/peersums.py
+++ b/src/dotterelhatch/core/peersums.py
@@ -42,17 +42,16 @@
 
     :param zero: the counts of a key that no peer reports.
     :param on_expired: is called with the counts of each report that expires.
-    :param lifetime_seconds: how long a report holds without a further one.
+    :ivar lifetime_seconds: how long a report holds without a further one.
     """
 
     def __init__(
         self,
         zero: SummableT,
         on_expired: Callable[[Mapping[KeyT, SummableT]], None] | None = None,
-        lifetime_seconds: float = REPORT_LIFETIME_SECONDS,
     ) -> None:
         """Create sums without reports."""
-        self._lifetime_seconds = lifetime_seconds
+        self.lifetime_seconds = REPORT_LIFETIME_SECONDS
         self._zero = zero
         self._on_expired = on_expired
         self._reports: dict[RouterId, _Report[KeyT, SummableT]] = {}
@@ -87,7 +86,7 @@
         :param lifetime_seconds: instead of that of these sums.
         """
         if lifetime_seconds is None:
-            lifetime_seconds = self._lifetime_seconds
+            lifetime_seconds = self.lifetime_seconds
         oldest_seconds = now_seconds - lifetime_seconds
         while self._reports:
             # A report that is replaced moves to the end.
