Bound the relay of a response by its caller's time as well

A router that had not run for a while dropped a response that had arrived meanwhile. A caller that awaits 100 Continue could get nothing but that.

Cause: the limit was applied to the reads from the peer only, and the timeout of a write starts again with each byte; the limit was compared before the socket. Ruled out: the limit of the peer, which does not reach a caller behind the relay.

Change: writes to the caller share the limit, what has arrived is read once more before the limit ends the wait, and requests with Expect stay at their router. The error of a passed request is made beside its outcome.

Conclusion: whatever a passed request waits for ends by its own limit.

--- a/src/dotterelhatch/net/http.py
+++ b/src/dotterelhatch/net/http.py
@@ -20,7 +20,7 @@
 from pydantic import Field
 
 from dotterelhatch.core.intake import Flow
-from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
+from dotterelhatch.errors import DotterelhatchError, ErrorKind
 from dotterelhatch.fleet import FrozenModel
 from dotterelhatch.net.bodies import BodyBuffer
 from dotterelhatch.net.client import fetch
@@ -48,6 +48,7 @@
     PassedRequest,
     PassLimits,
     PassOutcome,
+    pass_error,
 )
 from dotterelhatch.net.stream import (
     BACKLOG_COUNT,
@@ -809,7 +810,9 @@
         if self._intake is None:
             return False
         limit_seconds = self._intake.time_limit_seconds(exchange.head)
-        if not limit_seconds:
+        is_continue_expected = exchange.head.header('Expect') is not None
+        if not limit_seconds or is_continue_expected:
+            # An interim response would count as the beginning of the response.
             return False
         passed = PassedRequest(
             exchange.stream,
@@ -837,7 +840,7 @@
         if outcome in {PassOutcome.COMPLETE, PassOutcome.CALLER_LEFT}:
             return
         self.counts.pass_failed_count += 1
-        response = intake.on_pass_failed(exchange.head, _pass_error(outcome))
+        response = intake.on_pass_failed(exchange.head, pass_error(outcome))
         if outcome is PassOutcome.TRUNCATED:
             exchange.reset()
             return
@@ -1131,22 +1134,6 @@
     )
 
 
-def _pass_error(outcome: PassOutcome) -> DotterelhatchError:
-    if outcome is PassOutcome.TIMED_OUT:
-        return DotterelhatchError(
-            ErrorKind.DEADLINE_EXCEEDED,
-            'no response within the deadline from the router that the request '
-            'was passed on to',
-            Executed.UNKNOWN,
-        )
-    return DotterelhatchError(
-        ErrorKind.ROUTER_FAILED,
-        'the router that the request was passed on to closed the connection '
-        'before the end of its response',
-        Executed.UNKNOWN,
-    )
-
-
 def _check_framing(head: RequestHead) -> None:
     """Reject a request whose end two parsers could place differently.
 
--- a/src/dotterelhatch/net/passing.py
+++ b/src/dotterelhatch/net/passing.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
 from dotterelhatch.net.httptypes import CLOSE_HEADER
 from dotterelhatch.net.stream import SocketStream, WaitTimeoutError
 
@@ -22,6 +23,7 @@
     'PassLimits',
     'PassOutcome',
     'PassedRequest',
+    'pass_error',
 )
 
 HEAD_END: Final = b'\r\n\r\n'
@@ -145,12 +147,37 @@
         return self._failure(PassOutcome.UNANSWERED)
 
     async def _relay_response(self, server: SocketStream) -> None:
-        while content := await server.read(self._remaining_seconds()):
+        while content := await self._read(server):
             self._has_started = True
-            await self._caller.write(content, self._limits.write_seconds)
+            await self._write_caller(content)
+
+    async def _read(self, server: SocketStream) -> bytes:
+        try:
+            return await server.read(self._remaining_seconds())
+        except WaitTimeoutError:
+            # This process may have been late itself.
+            content = server.read_nowait()
+            if content is None:
+                raise
+            return content
+
+    async def _write_caller(self, content: bytes) -> None:
+        """Send a part of the response.
+
+        The timeout of a write starts again with each byte that is accepted, so
+        that a caller could hold the connection for days.
+        """
+        remaining_seconds = self._remaining_seconds()
+        try:
+            async with curio.timeout_after(remaining_seconds):
+                await self._caller.write(content, self._limits.write_seconds)
+        except curio.TaskTimeout:
+            raise WaitTimeoutError(
+                'the caller has not taken the response in time'
+            ) from None
 
     def _remaining_seconds(self) -> float:
-        """Return how long the other server may send nothing."""
+        """Return how long the other server or the caller may take."""
         remaining_seconds = self._due_seconds - time.monotonic()
         shortest_seconds = _LATE_PAUSE_SECONDS if self._has_started else 0
         return max(remaining_seconds, shortest_seconds)
@@ -180,6 +207,23 @@
         return content
 
 
+def pass_error(outcome: PassOutcome) -> DotterelhatchError:
+    """Return the error of a request whose response is missing."""
+    if outcome is PassOutcome.TIMED_OUT:
+        return DotterelhatchError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'no response within the deadline from the router that the request '
+            'was passed on to',
+            Executed.UNKNOWN,
+        )
+    return DotterelhatchError(
+        ErrorKind.ROUTER_FAILED,
+        'the router that the request was passed on to closed the connection '
+        'before the end of its response',
+        Executed.UNKNOWN,
+    )
+
+
 def _with_close(received: bytes) -> bytes:
     """Ask for the connection to be closed after the response."""
     request_line, _, rest = received.partition(_LINE_END)
