Believe a returned target only while its list is current

Callers could be sent to a target that had left, once more: a router that was cut off from the store while the late write was performed read its entry 8 s after the departure and took it for a new one; one that was cut off after it had read the entry used it 11 s after the departure, though it had expired.

Cause: the time between a write and its reading was taken for a second at most.

Change: only an entry that is still listed when that of a late write has expired is used again, and only while this router or a live peer has been answered by the store. Starts that are excluded for good are limited to 4096; each target that left added one.

The test of a target that was cut off had the removed shortcut in its second half; it compares the entry that is written after the whole time now.

Conclusion: time alone shows a live target only together with a current list.

--- a/src/dotterelhatch/core/departures.py
+++ b/src/dotterelhatch/core/departures.py
@@ -7,7 +7,7 @@
 
 __all__ = ('TargetDepartures', 'TargetStart')
 
-# The platform may perform a write that it has not answered this much later.
+# The platform performs a write that it has not answered 1 to 6 s later.
 _LATE_WRITE_SECONDS: Final = 6.0
 # Until a router reads the change of an entry.
 _READ_DELAY_SECONDS: Final = 1.0
@@ -27,9 +27,8 @@
     """Tells a target that is back from a late write of one that has left.
 
     The list shows what was written and not when it was sent. An entry of the
-    same start shows a live target if it is written later than any late write,
-    or if it is still listed when that of a late write has expired. A row that
-    is back as it was has not been written at all.
+    same start shows a live target if it is listed when that of a late write
+    has expired. A row that is back as it was has not been written at all.
 
     :param renewal_seconds: interval at which targets renew their entries.
     """
@@ -56,23 +55,17 @@
         """
         self._departures[start] = _Departure(now_seconds, row_version)
 
-    def on_listed(
-        self, start: TargetStart, row_version: int, now_seconds: float
-    ) -> None:
+    def on_listed(self, start: TargetStart, row_version: int) -> None:
         """Apply a row that is new in the list."""
         departure = self._departures.get(start)
-        if departure is None:
-            return
-        late_until_seconds = (
-            departure.seconds + _LATE_WRITE_SECONDS + _READ_DELAY_SECONDS
-        )
-        is_same_row = row_version == departure.row_version
-        if is_same_row or now_seconds > late_until_seconds:
+        if departure is not None and row_version == departure.row_version:
             self._departures.pop(start)
 
     def expire(self, now_seconds: float) -> set[TargetStart]:
         """Forget departures that no late write can follow any more.
 
+        The list has to be up to date.
+
         :returns: their starts. One that is listed is in use again.
         """
         oldest_seconds = now_seconds - self._doubt_seconds
--- a/src/dotterelhatch/core/registry.py
+++ b/src/dotterelhatch/core/registry.py
@@ -15,6 +15,8 @@
 # within two seconds after it; some entries expire only after it. The rest is
 # the delay until the list is read.
 _LAPSE_WINDOW_SECONDS: Final = 2.5
+# Many times the targets that leave while a late write may bring one back.
+_MAX_UNUSABLE_COUNT: Final = 4096
 # Time until a router knows that an entry has disappeared, by its own calls or
 # from a peer, and until a request reaches its target.
 _MAX_NOTICE_SECONDS: Final = 0.9
@@ -81,7 +83,7 @@
         self._entries: dict[TargetId, TargetEntry] = {}
         self._lapsed_until_seconds: dict[TargetId, float] = {}
         # Starts of targets that are not used, whatever the list says.
-        self._unusable: set[TargetStart] = set()
+        self._unusable: dict[TargetStart, None] = {}
         self._evacuated: frozenset[FailureDomain] = frozenset()
         self._ready_by_service: dict[ServiceId, tuple[TargetEntry, ...]] = {}
 
@@ -106,7 +108,7 @@
             returned with the state ``LEAVING``.
         """
         current = {entry.id: self._keep_leaving(entry) for entry in listed}
-        self._note_listed(current.values(), now_seconds)
+        self._note_listed(current.values())
         changed = list(filter(self._is_changed, current.values()))
         window_until = _window_until(regained_seconds)
         for target in current.keys() & self._lapsed_until_seconds.keys():
@@ -160,6 +162,9 @@
     def readmit(self, now_seconds: float) -> list[TargetEntry]:
         """Use the targets whose entries are no late writes, as time shows.
 
+        The list has to be up to date: the entry of a late write may have
+        expired.
+
         :returns: their entries.
         """
         starts = self._departures.expire(now_seconds)
@@ -174,7 +179,7 @@
         """Stop using a target whose address now belongs to another instance."""
         entry = self._entries.get(target)
         if entry is not None:
-            self._unusable.add(entry.start)
+            self._exclude(entry.start)
             self._rebuild_ready()
 
     def mark_leaving(self, entry: TargetEntry) -> bool:
@@ -185,7 +190,7 @@
         """
         if entry.start in self._unusable:
             return False
-        self._unusable.add(entry.start)
+        self._exclude(entry.start)
         self._rebuild_ready()
         return True
 
@@ -282,24 +287,32 @@
             self._lapsed_until_seconds[entry.id] = lapsed_until
         return now_seconds < lapsed_until
 
-    def _note_listed(
-        self, listed: Iterable[TargetEntry], now_seconds: float
-    ) -> None:
+    def _note_listed(self, listed: Iterable[TargetEntry]) -> None:
         for entry in listed:
             known = self._entries.get(entry.id)
             if known is None or known.row_version != entry.row_version:
-                self._departures.on_listed(
-                    entry.start, entry.row_version, now_seconds
-                )
+                self._departures.on_listed(entry.start, entry.row_version)
 
     def _on_departed(self, entry: TargetEntry, now_seconds: float) -> None:
         if entry.state is TargetState.LEAVING:
-            self._unusable.add(entry.start)
+            self._exclude(entry.start)
         elif entry.id not in self._lapsed_until_seconds:
             self._departures.on_departed(
                 entry.start, entry.row_version, now_seconds
             )
 
+    def _exclude(self, start: TargetStart) -> None:
+        """Use a start no more; forget the oldest that is not listed."""
+        self._unusable[start] = None
+        if len(self._unusable) <= _MAX_UNUSABLE_COUNT:
+            return
+        listed = {entry.start for entry in self._entries.values()}
+        forgotten = next(
+            (one for one in self._unusable if one not in listed), None
+        )
+        if forgotten is not None:
+            self._unusable.pop(forgotten)
+
     def _is_changed(self, entry: TargetEntry) -> bool:
         return self._entries.get(entry.id) != entry
 
--- a/src/dotterelhatch/gateway/state.py
+++ b/src/dotterelhatch/gateway/state.py
@@ -653,7 +653,8 @@
         self._on_targets_changed(
             self.registry.expire(self.clock()), is_grace_over=True
         )
-        self._on_targets_changed(self.registry.readmit(self.clock()))
+        if self.is_source_current:
+            self._on_targets_changed(self.registry.readmit(self.clock()))
 
     def _log_cold(self, entries: Iterable[TargetEntry]) -> None:
         now_seconds = self.clock()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -640,3 +640,25 @@
         response = await fixture.call('/public/1', 'r2')
         assert response.status == 200
         assert fixture.runs == ['r2']
+
+
+@run_async
+async def test_a_router_without_its_list_takes_a_late_write_for_a_target() -> (
+    None
+):
+    """Guards against an entry that has expired since the list was read."""
+    async with open_gateway((PLAIN, ServerStandIn('p-1'))) as fixture:
+        gateway = fixture.gateway
+        state = gateway.state
+        now_seconds = state.clock()
+        state.clock = lambda: now_seconds
+        (entry,) = state.registry.ready(PLAIN)
+        state.apply_targets([], None)
+        state.apply_targets([replace(entry, row_version=7)], None)
+        now_seconds += 30
+        state.expire_targets()
+        assert not state.registry.ready(PLAIN)
+        for document in ('op', 'servers'):
+            gateway.on_source_response(document)
+        state.expire_targets()
+        assert state.registry.ready(PLAIN)
--- a/tests/test_platform_feeds.py
+++ b/tests/test_platform_feeds.py
@@ -149,6 +149,10 @@
     store.put('servers', 'i-2', SERVER)
     async with HttpServer('127.0.0.1:0', store) as server:
         async with open_router(f'127.0.0.1:{server.port}') as router:
+            state = router.gateway.state
+            now_seconds = state.clock()
+            # However slow the machine is, no late write has expired.
+            state.clock = lambda: now_seconds
             await until(lambda: router.targets == ['i-1', 'i-2'])
             store.delete('servers', 'i-2')
             await until(lambda: router.targets == ['i-1'])
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -244,8 +244,8 @@
 def test_a_target_that_was_cut_off_from_its_list_is_lost_for_good() -> None:
     """Guards against a live target that is taken for one that has left.
 
-    A write after any late one shows that it is alive, and so does an entry
-    that is still there when that of a late write has expired.
+    An entry that is still there when that of a late write has expired shows
+    that it is alive.
     """
     registry = _registry_after_departure(row_version=1)
     registry.apply([_entry('a', row_version=3)], 12)
@@ -255,10 +255,36 @@
     assert [one.id for one in readmitted] == ['a']
     assert _names(registry) == ['a']
     registry = _registry_after_departure(row_version=1)
-    registry.apply([_entry('a', row_version=3)], 17.5)
+    registry.readmit(21)
+    registry.apply([_entry('a', row_version=3)], 21.1)
     assert _names(registry) == ['a']
 
 
+def test_a_late_write_that_is_read_late_brings_back_a_target() -> None:
+    """Guards against a router that was cut off from its list meanwhile.
+
+    It reads the entry when no late write is performed any more.
+    """
+    registry = _registry_after_departure(row_version=1)
+    registry.apply([_entry('a', row_version=3), _entry('b')], 18)
+    assert _names(registry) == ['b']
+
+
+def test_starts_that_are_not_used_are_kept_for_ever() -> None:
+    """Guards against memory that grows with each target that leaves."""
+    registry = TargetRegistry()
+    kept = _entry('kept')
+    registry.apply([kept], 0)
+    registry.mark_leaving(kept)
+    for number in range(5000):
+        leaving = _entry('a', started_ms=number, state=TargetState.LEAVING)
+        registry.apply([kept, leaving], number)
+        registry.apply([kept], number)
+    assert len(registry._unusable) <= 4096
+    assert not registry.is_usable(kept)
+    assert not registry.is_usable(_entry('a', started_ms=4999))
+
+
 def test_a_late_write_brings_back_a_target_that_was_leaving() -> None:
     """Guards against a drain that ends with the entry of the target."""
     registry = _registry_after_departure(state=TargetState.LEAVING)
