Ignore rejections that a router's own requests explain

On a router that had just lost its peers, one caller could have the requests of others rejected at idle targets for up to 30 s, with requests that no target can take.

Cause: each rejection by a target counted as a sign that the silent peers go on using it. Ruled out: rejections beside load that the router does not know of, which are the sign that is meant.

Change: it does not count if the requests of this router alone have more than the slots or the memory of the target.

The tests of lost peers stop the clock before the first heartbeat.

Conclusion: the load of others is assumed only where nothing else explains it.

--- a/src/dotterelhatch/core/load.py
+++ b/src/dotterelhatch/core/load.py
@@ -184,7 +184,11 @@
             self.on_rejected(target, now_seconds)
 
     def on_rejected(self, target: TargetId, now_seconds: float) -> None:
-        """Record that a target is busy with requests of others."""
+        """Record that a target is busy with requests of others.
+
+        What the requests of this router alone explain is no sign of it: one
+        caller could keep the load assumed at the expense of the others.
+        """
         silent = self._silent.get(target)
         if silent is not None:
             self._assumed_seconds[target] = now_seconds
--- a/src/dotterelhatch/gateway/attempts.py
+++ b/src/dotterelhatch/gateway/attempts.py
@@ -15,6 +15,7 @@
 )
 from dotterelhatch.core.enginememory import FinishedStream, MemoryRoom
 from dotterelhatch.core.fairshare import UsageSample
+from dotterelhatch.core.load import TargetLoad
 from dotterelhatch.core.prompts import SentPrompt
 from dotterelhatch.core.targethealth import AttemptOutcome
 from dotterelhatch.errors import DotterelhatchError, ErrorKind, Executed
@@ -511,12 +512,7 @@
         self._note_limit(attempt, response)
         self._notices.apply(attempt, response)
         if wire.is_not_executed(response.status, response.headers):
-            self._request.history.possible_executions_count -= 1
-            attempt.outcome = AttemptOutcome.SHED
-            if wire.is_misdirected(response.status):
-                state.registry.mark_replaced(target)
-            else:
-                state.load_tracker.on_rejected(target, state.clock())
+            self._note_shed(attempt, response)
             await _discard_body(response)
             return self._after_shed(attempt, response)
         self._check_status(attempt, response)
@@ -627,6 +623,28 @@
             ),
         )
 
+    def _note_shed(self, attempt: Attempt, response: TargetResponse) -> None:
+        state = self._state
+        target = attempt.placement.entry.id
+        self._request.history.possible_executions_count -= 1
+        attempt.outcome = AttemptOutcome.SHED
+        if self._gateway.wire.is_misdirected(response.status):
+            state.registry.mark_replaced(target)
+        elif not self._is_filled_here(attempt.placement):
+            state.load_tracker.on_rejected(target, state.clock())
+
+    def _is_filled_here(self, placement: Placement) -> bool:
+        """Return whether requests of this router alone fill a target."""
+        entry = placement.entry
+        load = self._state.load_tracker.local_loads.get(entry.id, TargetLoad())
+        engine = self._routed.service.engine
+        if engine is None:
+            return load.requests_count > entry.slots_count
+        return (
+            load.requests_count > engine.slots_count
+            or load.memory_tokens > engine.memory_tokens
+        )
+
     async def _relay_stream(
         self,
         attempt: Attempt,
--- a/tests/test_lost_peers.py
+++ b/tests/test_lost_peers.py
@@ -13,7 +13,7 @@
 from emulator.patterns import Pattern, RequestKind
 from emulator.policies import Policy
 from emulator.simulation import Simulation
-from standins.server import ServerStandIn
+from standins.server import ServerBehaviour, ServerStandIn
 from tests.gateway_helpers import MODEL, open_gateway, run_async
 from tests.test_gateway_intake import heartbeat
 
@@ -118,21 +118,54 @@
         lose_peers(state)
         response = await fixture.stream('/draft/1', 'r1')
         assert response.status == 429
-        real_clock = state.clock
-        started_seconds = real_clock()
-        for later_seconds in range(12):
-            now_seconds = started_seconds + later_seconds
-            state.clock = lambda: now_seconds
-            state.expire_peer_reports()
-        state.clock = lambda: real_clock() + later_seconds
+        pass_time(state, 12)
         response = await fixture.stream('/draft/1', 'r2')
         assert response.status == 200
 
 
+@pytest.mark.parametrize(
+    ('tokens', 'assumed_count'), [('900,80', 192), ('900000,80', 0)]
+)
+def test_one_caller_makes_idle_targets_look_busy(
+    tokens: str, assumed_count: int
+) -> None:
+    """Guards against a caller whose requests no target can take.
+
+    Only a rejection that the own requests of the router do not explain shows
+    that others use the target.
+    """
+
+    @run_async
+    async def check() -> None:
+        server = ServerStandIn('m-1', ServerBehaviour.SHED)
+        async with open_gateway((MODEL, server)) as fixture:
+            state = fixture.gateway.state
+            lose_peers(state)
+            pass_time(state, 12)
+            await fixture.call(
+                '/draft/1', 'r1', Dotterelhatch_Token_Counts=tokens
+            )
+            assert server.received_headers
+            load_now = state.load_tracker.total(TARGET)
+            assert load_now.requests_count == assumed_count
+
+    check()
+
+
+def pass_time(state: GatewayState, seconds: int) -> None:
+    """Let the reports of lost peers age, however slow the machine is."""
+    started_seconds = state.clock()
+    for later_seconds in range(seconds):
+        now_seconds = started_seconds + later_seconds
+        state.clock = lambda: now_seconds
+        state.expire_peer_reports()
+
+
 def lose_peers(state: GatewayState) -> None:
-    """Apply the last heartbeats of three peers."""
+    """Apply the last heartbeats of three peers, and stop the clock."""
+    now_seconds = state.clock()
+    state.clock = lambda: now_seconds
     for peer in PEERS:
-        now_seconds = state.clock()
         state.peers.on_heartbeat(heartbeat(peer), now_seconds)
         state.load_tracker.on_report(peer, {TARGET: LOAD}, now_seconds)
 
