--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -25,6 +25,7 @@
 HOST = 'ficu95.example'
 KEYS = {'key-hule930': 'hule930', 'key-zemi114': 'zemi114'}
 IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
+_PROCESSES = []
 _REASONS = {200: 'OK', 421: 'Misdirected Request', 503: 'Unavailable'}
 
 
@@ -438,6 +439,7 @@
                 stdout=log,
                 stderr=log,
             )
+        _PROCESSES.append(self.process)
 
     def send(self, signum):
         if self.process.poll() is None:
@@ -760,7 +762,8 @@
         async with asyncio.timeout(110):
             return await main()
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: _end(2))
+    signal.signal(signal.SIGINT, lambda *_: _end(2))
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
     try:
@@ -768,6 +771,14 @@
     except (CaseNotRunError, TimeoutError, OSError) as error:
         sys.stdout.write(f'the case could not run: {error!r}\n')
         is_broken = None
+    _end(2 if is_broken is None else int(is_broken))
+
+
+def _end(code):
+    """End at once, whatever connections are still open, and all routers."""
+    for process in _PROCESSES:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
     sys.stdout.flush()
-    # Connections that are still open have no say in the result.
-    os._exit(2 if is_broken is None else int(is_broken))
+    os._exit(code)
