--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -635,6 +635,8 @@
         self._routers_count = routers_count
         self._memory_mb = memory_mb
         self._folder = tempfile.mkdtemp(prefix='review-3-')
+        # Name of the router that each request was sent to.
+        self.sent_to = {}
         self._requests_count = 0
 
     async def __aenter__(self):
@@ -659,12 +661,13 @@
         await self.store.put('servers', server.name, server.row())
         return server
 
-    async def start_routers(self):
-        """Start the routers and wait until all of them are ready."""
-        subnet = random.SystemRandom().randrange(1, 255)
-        ips = [
-            f'127.1.{subnet}.{one + 1}' for one in range(self._routers_count)
-        ]
+    async def start_routers(self, count=None):
+        """Start the first routers, or all, and wait until they are ready."""
+        # All routers have the same metrics port, so each run takes a network
+        # of its own.
+        rng = random.SystemRandom()
+        network = f'127.{rng.randrange(2, 250)}.{rng.randrange(1, 255)}'
+        ips = [f'{network}.{one + 1}' for one in range(self._routers_count)]
         ports = _free_ports(ips)
         seeds = [f'{ip}:{ports["control"]}' for ip in ips][:3]
         for index, ip in enumerate(ips):
@@ -678,14 +681,18 @@
                 self._memory_mb,
             )
             self.routers.append(router)
+        for router in self.routers[:count]:
             router.start()
+        await self.wait_ready(self.routers[:count])
+        self.record.say(f'{len(self.routers[:count])} routers are ready')
+
+    async def wait_ready(self, routers):
         for _ in range(200):
             await asyncio.sleep(0.1)
             ready = await asyncio.gather(
-                *(router.is_ready() for router in self.routers)
+                *(router.is_ready() for router in routers)
             )
             if all(ready):
-                self.record.say(f'{len(ready)} routers are ready')
                 return
         raise CaseNotRunError('the routers did not become ready')
 
@@ -702,6 +709,7 @@
     while True:
         request_id = fleet.next_id()
         sent[request_id] = time.monotonic()
+        fleet.sent_to[request_id] = router.name
         try:
             response = await call(
                 router.address('front'),
