--- a/review/15/check.py
+++ b/review/15/check.py
@@ -1,10 +1,10 @@
-"""Case 15: requesters that read slowly lose answers that their servers gave.
+"""Case 15: a machine that is added sends to a server that has left.
 
-They ask for reports of 2 MB on kept channels and read each within 5 s.
+The last write of the server gets no answer and is performed 5.9 s later. The
+entry of the server is removed before that, and the machine starts in between.
 """
 
 import asyncio
-import socket
 import sys
 import time
 from pathlib import Path
@@ -14,150 +14,95 @@
 
 import fleet3  # noqa: E402
 
-REPORT_BYTES = 2_000_000
-READERS_COUNT = 72
-ROUTERS_COUNT = 2
-DEADLINE_MS = 12_000
-PIECE_BYTES = 100_000
-PIECE_SECONDS = 0.25 if fleet3.IS_TROUBLED else 0
-ALLOWED_COUNT = 3
+STABLE_WINDOW = 3.0
+DRAIN = 2.0
+MARGIN = 0.1
+# Seconds after the write that gets no answer.
+REMOVED = 3.5
+PERFORMED = 5.9
+# Three ping intervals of 1.2 s without another write.
+EXPIRY = 3.6
+CALLERS = 3
 
 
-class ReportServer(fleet3.PlainServer):
-    """A server whose answers to /report/ are long.
+async def ask_all(fleet, sent):
+    """Keep requesters at all machines that are running."""
+    asked = set()
+    while True:
+        for router in fleet.routers:
+            if router.process is not None and router not in asked:
+                asked.add(router)
+                for _ in range(CALLERS):
+                    asyncio.create_task(
+                        fleet3.keep_asking(fleet, router, '/booking/1', sent)
+                    )
+        await asyncio.sleep(0.05)
 
-    :ivar finished: requests whose answer it has handed over to the end.
-    """
 
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.finished = set()
-
-    async def answer(self, first, headers, body, reader, writer):
-        path = first.split(' ')[1]
-        is_mine = headers.get('dotterelhatch-expect-instance') == self.name
-        if not path.startswith('/report/') or not is_mine:
-            return await super().answer(first, headers, body, reader, writer)
-        request_id = headers['dotterelhatch-request-id']
-        self.runs.append((time.monotonic(), request_id, path, None))
-        self._record.write(f'{self.name} runs {request_id} {path}')
-        await asyncio.sleep(0.03)
-        self._stamps += 1
-        echo = ('Dotterelhatch-Request-Id', request_id)
-        stamp = ('Dotterelhatch-Response-Stamp', f'{self.name}.{self._stamps}')
-        writer.write(fleet3.render(200, (echo, stamp), b'r' * REPORT_BYTES))
-        await writer.drain()
-        self.finished.add(request_id)
-        return True
-
-
-async def connect(address):
-    """Open a channel with the segments of an Ethernet link."""
-    host, _, port = address.rpartition(':')
-    channel = socket.socket()
-    channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-    channel.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
-    channel.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(channel, (host, int(port)))
-    return await asyncio.open_connection(sock=channel, limit=PIECE_BYTES)
-
-
-async def read_report(fleet, router, results):
-    """Use a channel for a lookup, then for a report that is read slowly."""
-    reader, writer = await connect(router.address('front'))
-    was_kept = False
-    for path in ('/lookup/1', '/report/1'):
-        request_id = fleet.next_id()
-        headers = fleet3.request_headers(request_id, DEADLINE_MS)
-        writer.write(fleet3.render_request('GET', path, headers, b''))
-        began = time.monotonic()
-        arrived, outcome, is_kept = await _read_answer(reader)
-        took = time.monotonic() - began
-        text = f'{outcome}, {arrived} B of the body in {took:.2f} s'
-        fleet.record.write(f'{router.name} {request_id} {path}: {text}')
-        if path.startswith('/report'):
-            results[request_id] = (outcome, was_kept, took)
-        elif is_kept:
-            was_kept = True
-        else:
-            writer.close()
-            reader, writer = await connect(router.address('front'))
-    writer.close()
-
-
-async def _read_answer(reader):
-    """Return the bytes of the body, how it ended, and if the channel stays."""
-    try:
-        head = await reader.readuntil(b'\r\n\r\n')
-    except (OSError, asyncio.IncompleteReadError) as error:
-        return 0, f'no answer: {error!r}', False
-    first, *lines = head.decode('latin-1').split('\r\n')
-    length = next(
-        int(line.split(':')[1])
-        for line in lines
-        if line.lower().startswith('content-length')
-    )
-    is_kept = 'connection: close' not in head.decode('latin-1').lower()
-    arrived = 0
-    while arrived < length:
-        try:
-            content = await reader.read(min(PIECE_BYTES, length - arrived))
-        except OSError as error:
-            return arrived, f'cut: {error!r}', False
-        if not content:
-            return arrived, 'cut: the channel was closed', False
-        arrived += len(content)
-        await asyncio.sleep(PIECE_SECONDS * len(content) / PIECE_BYTES)
-    return arrived, f'whole {first.split(" ")[1]}', is_kept
+async def sleep_until(moment):
+    await asyncio.sleep(max(0, moment - time.monotonic()))
 
 
 async def main():
-    async with fleet3.Fleet(FOLDER, ROUTERS_COUNT, 136) as fleet:
+    async with fleet3.Fleet(FOLDER) as fleet:
         record = fleet.record
         servers = [
-            ReportServer(f'i-app-{one}', 'app', f'zone-{one}', record)
-            for one in range(3)
+            fleet3.PlainServer(f'i-app-{one}', 'app', f'zone-{one % 3}', record)
+            for one in range(4)
         ]
         for server in servers:
             await fleet.add_server(server)
-        more = {'timeout-ms': DEADLINE_MS, 'slo-ms': 1000}
-        routes = [
-            fleet3.route('report', 'idempotent', 'app', **more),
-            fleet3.route('lookup', 'idempotent', 'app', **more),
-        ]
+        routes = [fleet3.route('booking', 'non_idempotent', 'app')]
         state = fleet3.desired_state(3, routes, [{'name': 'app'}])
         await fleet.store.put('op', 'config', state)
-        await fleet.start_routers()
-        await asyncio.sleep(4)
-        results = {}
-        readers = []
-        for number in range(READERS_COUNT):
-            router = fleet.routers[number % ROUTERS_COUNT]
-            reading = read_report(fleet, router, results)
-            readers.append(asyncio.create_task(reading))
-            await asyncio.sleep(0.05)
-        await asyncio.wait(readers, timeout=30)
-        ran = {run[1] for server in servers for run in server.runs}
-        given = set().union(*(server.finished for server in servers))
-        lost = [
-            request_id
-            for request_id, (outcome, was_kept, _) in results.items()
-            if request_id in ran
-            and was_kept
-            and not outcome.startswith('whole')
-        ]
-        times = [f'{took:.1f}' for _, _, took in results.values()]
-        record.say(f'{len(ran & set(results))} of {len(results)} reports ran')
+        await fleet.start_routers(3)
+        sent = {}
+        asyncio.create_task(ask_all(fleet, sent))
+        await asyncio.sleep(5)
+        leaving = servers[0]
+        written_at = time.monotonic()
+        record.say(f'a write of {leaving.name} gets no answer')
+        await sleep_until(written_at + REMOVED)
+        removed_at = await fleet.store.delete('servers', leaving.name)
+        record.say(f'the entry of {leaving.name} is removed, it serves on')
+        await asyncio.sleep(0.3)
+        added = fleet.routers[3]
+        added.start()
+        await fleet.wait_ready([added])
+        ready_at = time.monotonic()
+        record.say(
+            f'{added.name} is added, ready {ready_at - removed_at:.2f} s after '
+            'the removal'
+        )
+        if fleet3.IS_TROUBLED:
+            await sleep_until(written_at + PERFORMED)
+            await fleet.store.put('servers', leaving.name, leaving.row(seq=7))
+            record.say('the write is performed')
+            await asyncio.sleep(EXPIRY)
+            await fleet.store.delete('servers', leaving.name)
+            record.say('the entry that it made has expired')
+        await sleep_until(written_at + PERFORMED + EXPIRY + 1)
+        in_touch_at = ready_at + STABLE_WINDOW + MARGIN
+        counts = {router.name: 0 for router in fleet.routers}
+        late = []
+        for at, request_id, _, _ in leaving.runs:
+            router = fleet.sent_to[request_id]
+            is_in_touch = router != added.name or (
+                sent[request_id] >= in_touch_at
+            )
+            if at > removed_at + DRAIN and is_in_touch:
+                late.append(request_id)
+                counts[router] += 1
+        last = max(at for at, *_ in leaving.runs)
         record.say(
-            f'{len(given & set(lost))} of the cut ones left their server whole'
+            f'the last request reached {leaving.name} {last - removed_at:.2f} s '
+            'after its entry was removed'
         )
-        record.say(f'seconds until their ends: {" ".join(times)}')
         record.say(
-            f'{len(lost)} answers on kept channels were cut by closing them, '
-            f'{ALLOWED_COUNT} are allowed'
+            f'{len(late)} requests reached it later than {DRAIN:g} s after that '
+            f'from machines in touch: {counts}'
         )
-        return len(lost) > ALLOWED_COUNT
+        return bool(late)
 
 
 if __name__ == '__main__':
