--- a/review/15/check.py
+++ b/review/15/check.py
@@ -25,12 +25,12 @@
 CALLERS = 3
 
 
-async def ask_all(fleet, sent):
-    """Keep requesters at all machines that are running."""
+async def ask_all(fleet, sent, ready):
+    """Keep requesters at all machines that have become ready."""
     asked = set()
     while True:
-        for router in fleet.routers:
-            if router.process is not None and router not in asked:
+        for router in tuple(ready):
+            if router not in asked:
                 asked.add(router)
                 for _ in range(CALLERS):
                     asyncio.create_task(
@@ -57,7 +57,8 @@
         await fleet.store.put('op', 'config', state)
         await fleet.start_routers(3)
         sent = {}
-        asyncio.create_task(ask_all(fleet, sent))
+        ready = list(fleet.routers[:3])
+        asyncio.create_task(ask_all(fleet, sent, ready))
         await asyncio.sleep(5)
         leaving = servers[0]
         written_at = time.monotonic()
@@ -70,6 +71,7 @@
         added.start()
         await fleet.wait_ready([added])
         ready_at = time.monotonic()
+        ready.append(added)
         record.say(
             f'{added.name} is added, ready {ready_at - removed_at:.2f} s after '
             'the removal'
